--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/allotments/__init__.py
@@ -0,0 +1,8 @@
+"""Allotments of organisations that all nodes share."""
+
+from __future__ import annotations
+
+from guavalane_core.allotments.allotment import SharedAllotment
+from guavalane_core.allotments.ledger import AllotmentLedger
+
+__all__ = ["AllotmentLedger", "SharedAllotment"]
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -0,0 +1,78 @@
+"""The allotment of one organisation as one node accounts for it."""
+
+from __future__ import annotations
+
+
+class SharedAllotment:
+    """Token bucket from which all nodes draw.
+
+    Each node keeps the level of the whole bucket: it takes its own use off at
+    once and the use of others when they report it.
+
+    Args:
+      rate_per_s: Units that flow in per second.
+      burst: Units that the bucket holds.
+      now_s: Monotonic time in seconds.
+    """
+
+    def __init__(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._level = burst
+        self._filled_s = now_s
+        self._part = 1.0
+
+    @property
+    def level(self) -> float:
+        """Units in the bucket at the last call."""
+        return self._level
+
+    def set_limits(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        """Changes the limits; what was drawn stays drawn."""
+        self._fill(now_s)
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._level = min(self._level, burst)
+
+    def set_part(self, part: float, now_s: float) -> None:
+        """Sets the part of the inflow that this node may count on.
+
+        Args:
+          part: 1 while all nodes report, else the part of the nodes that do.
+          now_s: Monotonic time in seconds.
+        """
+        self._fill(now_s)
+        self._part = part
+
+    def try_draw(self, units: float, now_s: float) -> float:
+        """Draws units, or returns how long the caller has to wait.
+
+        A request larger than the whole bucket is admitted once it is full.
+
+        Returns:
+          0 if the units were drawn, else the time in seconds until they are
+          there.
+        """
+        self._fill(now_s)
+        missing = min(units, self._burst) - self._level
+        if missing <= 0:
+            self._level -= units
+            return 0.0
+        inflow_per_s = self._rate_per_s * self._part
+        return missing / inflow_per_s if inflow_per_s > 0 else float("inf")
+
+    def draw_reported(self, units: float, now_s: float) -> None:
+        """Takes off what another node has drawn."""
+        self._fill(now_s)
+        self._level = max(self._level - units, -self._burst)
+
+    def give_back(self, units: float, now_s: float) -> None:
+        """Returns what was drawn for a request that has not run."""
+        self._fill(now_s)
+        self._level = min(self._burst, self._level + units)
+
+    def _fill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._filled_s)
+        self._filled_s = now_s
+        inflow = elapsed_s * self._rate_per_s * self._part
+        self._level = min(self._burst, self._level + inflow)
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -0,0 +1,93 @@
+"""Allotments of all organisations on one node."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from guavalane_core.allotments.allotment import SharedAllotment
+from guavalane_core.forwarding.configuration import Organisation
+from guavalane_core.forwarding.request import Prompt
+
+
+def units_of(organisation: Organisation, prompt: Prompt | None) -> int:
+    """Returns what a request counts against its organisation's allotment."""
+    if not organisation.counts_tokens:
+        return 1
+    if prompt is None:
+        return organisation.plain_tokens
+    return prompt.input_tokens + prompt.max_output_tokens
+
+
+class AllotmentLedger:
+    """Draws from allotments and exchanges totals with other nodes."""
+
+    def __init__(self) -> None:
+        self._allotments: dict[str, SharedAllotment] = {}
+        self._drawn: dict[str, int] = {}
+        # Totals of other nodes by name and incarnation.
+        self._reported: dict[str, tuple[int, dict[str, int]]] = {}
+
+    @property
+    def drawn(self) -> Mapping[str, int]:
+        """Units that this process has drawn, by organisation."""
+        return self._drawn
+
+    def set_organisations(
+        self, organisations: Sequence[Organisation], now_s: float
+    ) -> None:
+        """Takes the limits of a configuration."""
+        limited = {o.name: o for o in organisations if o.rate_per_s > 0}
+        for name in list(self._allotments):
+            if name not in limited:
+                del self._allotments[name]
+        for name, organisation in limited.items():
+            limits = (organisation.rate_per_s, organisation.burst)
+            if name in self._allotments:
+                self._allotments[name].set_limits(*limits, now_s)
+            else:
+                self._allotments[name] = SharedAllotment(*limits, now_s)
+
+    def set_part(self, part: float, now_s: float) -> None:
+        """Sets the part of each inflow that this node may count on."""
+        for allotment in self._allotments.values():
+            allotment.set_part(part, now_s)
+
+    def try_draw(self, name: str, units: int, now_s: float) -> float:
+        """Draws units of an organisation; see `SharedAllotment.try_draw`."""
+        allotment = self._allotments.get(name)
+        if allotment is None:
+            return 0.0
+        wait_s = allotment.try_draw(units, now_s)
+        if wait_s == 0:
+            self._drawn[name] = self._drawn.get(name, 0) + units
+        return wait_s
+
+    def give_back(self, name: str, units: int, now_s: float) -> None:
+        """Returns units of a request that has not run and never will."""
+        allotment = self._allotments.get(name)
+        if allotment is None or name not in self._drawn:
+            return
+        allotment.give_back(units, now_s)
+        self._drawn[name] -= units
+
+    def report(
+        self,
+        node: str,
+        incarnation: int,
+        totals: Mapping[str, int],
+        now_s: float,
+    ) -> None:
+        """Takes off what another node has drawn since its last report."""
+        known = self._reported.get(node)
+        if known is None or known[0] != incarnation:
+            known = (incarnation, {})
+        for name, total in totals.items():
+            units = total - known[1].get(name, 0)
+            allotment = self._allotments.get(name)
+            if allotment is None or units == 0:
+                continue
+            if units > 0:
+                allotment.draw_reported(units, now_s)
+            else:
+                allotment.give_back(-units, now_s)
+        self._reported[node] = (incarnation, dict(totals))
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
@@ -0,0 +1,54 @@
+"""Decisions about requests that are forwarded to endpoints unchanged."""
+
+from __future__ import annotations
+
+from guavalane_core.forwarding.attempt import (
+    AttemptOutcome,
+    Decision,
+    decide_next,
+)
+from guavalane_core.forwarding.configuration import (
+    CallerLimits,
+    Delivery,
+    Engine,
+    ForwardingConfiguration,
+    Organisation,
+    Replicas,
+    Route,
+    Service,
+    ServiceShare,
+)
+from guavalane_core.forwarding.directory import EndpointDirectory
+from guavalane_core.forwarding.endpoint import Endpoint
+from guavalane_core.forwarding.events import EventSplitter, StreamEvent
+from guavalane_core.forwarding.request import (
+    CallerRequest,
+    Prompt,
+    PromptPart,
+)
+from guavalane_core.forwarding.retries import SharedRetryBudget
+from guavalane_core.forwarding.routes import RouteTable
+
+__all__ = [
+    "AttemptOutcome",
+    "CallerLimits",
+    "CallerRequest",
+    "Decision",
+    "Delivery",
+    "Endpoint",
+    "EndpointDirectory",
+    "Engine",
+    "EventSplitter",
+    "ForwardingConfiguration",
+    "Organisation",
+    "Prompt",
+    "PromptPart",
+    "Replicas",
+    "Route",
+    "RouteTable",
+    "Service",
+    "ServiceShare",
+    "SharedRetryBudget",
+    "StreamEvent",
+    "decide_next",
+]
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -0,0 +1,98 @@
+"""Endpoints that a node knows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from guavalane_core.forwarding.endpoint import Endpoint
+
+# Endpoints whose entries expired during an outage of the discovery write them
+# again within this time after its return, in seconds.
+RETURN_GRACE_S = 2.0
+
+
+class EndpointDirectory:
+    """Endpoints by identifier, kept over outages of the discovery.
+
+    An entry that disappears while the discovery was away, or just after, may
+    have expired only because its endpoint could not renew it. Such an endpoint
+    is used until its grace ends.
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, Endpoint] = {}
+        self._by_service: dict[str, dict[str, Endpoint]] = {}
+        self._lapsed: dict[str, float] = {}
+        self._returned_s = -RETURN_GRACE_S
+        self._away = False
+
+    def __len__(self) -> int:
+        return len(self._endpoints)
+
+    def get(self, endpoint_id: str) -> Endpoint | None:
+        """Returns an endpoint; None if it is not known."""
+        return self._endpoints.get(endpoint_id)
+
+    def usable(self, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service that take new requests."""
+        known = self._by_service.get(service, {})
+        return [endpoint for endpoint in known.values() if not endpoint.leaving]
+
+    def all_of(self, service: str) -> list[Endpoint]:
+        """Returns all endpoints of a service, leaving ones included."""
+        return list(self._by_service.get(service, {}).values())
+
+    def lose_discovery(self) -> None:
+        """Notes that the discovery does not answer."""
+        self._away = True
+
+    def regain_discovery(self, now_s: float) -> None:
+        """Notes that the discovery answers again."""
+        if self._away:
+            self._away = False
+            self._returned_s = now_s
+
+    def replace_all(self, endpoints: Iterable[Endpoint], now_s: float) -> None:
+        """Takes a complete list from the discovery."""
+        listed = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
+        for endpoint_id in list(self._endpoints):
+            if endpoint_id not in listed:
+                self.remove(endpoint_id, now_s)
+        for endpoint in listed.values():
+            self.put(endpoint)
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Adds or replaces an endpoint."""
+        self._discard(endpoint.endpoint_id)
+        self._lapsed.pop(endpoint.endpoint_id, None)
+        self._endpoints[endpoint.endpoint_id] = endpoint
+        of_service = self._by_service.setdefault(endpoint.service, {})
+        of_service[endpoint.endpoint_id] = endpoint
+
+    def remove(self, endpoint_id: str, now_s: float) -> None:
+        """Removes an endpoint, after the grace if its entry may have expired.
+
+        An endpoint that announced that it leaves is removed at once.
+        """
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        grace_end_s = self._returned_s + RETURN_GRACE_S
+        if not endpoint.leaving and now_s < grace_end_s:
+            self._lapsed.setdefault(endpoint_id, grace_end_s)
+            return
+        self._lapsed.pop(endpoint_id, None)
+        self._discard(endpoint_id)
+
+    def expire(self, now_s: float) -> list[str]:
+        """Removes endpoints whose grace has ended, and returns them."""
+        ended = [name for name, end_s in self._lapsed.items() if end_s <= now_s]
+        for name in ended:
+            del self._lapsed[name]
+            self._discard(name)
+        return ended
+
+    def _discard(self, endpoint_id: str) -> None:
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            del self._by_service[endpoint.service][endpoint_id]
--- a/packages/guavalane-core/src/guavalane_core/leases/holder.py
+++ b/packages/guavalane-core/src/guavalane_core/leases/holder.py
@@ -77,6 +77,8 @@
       holder: Name of this node.
       incarnation: Incarnation of this process.
       duration_s: Duration of the lease, in seconds.
+      takeover_delay_s: Time for which a released lease stays free. It keeps
+          two holders from acting in turn within this time.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         holder: str,
         incarnation: int,
         duration_s: float = DEFAULT_DURATION_S,
+        takeover_delay_s: float = 0.0,
     ) -> None:
         self._api = api
         self._writer = ConditionalWriter(api)
@@ -96,6 +99,7 @@
         self._incarnation = incarnation
         self._identity = f"{holder}-{secrets.token_hex(IDENTITY_BYTES)}"
         self._duration_s = duration_s
+        self._takeover_delay_s = takeover_delay_s
         self._lock = asyncio.Lock()
         self._stored: StoredObject | None = None
         self._acts_until = 0.0
@@ -267,7 +271,7 @@
             return await self._take(
                 stored, lease.fencing_number, sent_at, offset
             )
-        if not lease.released and not self._expired(stored, lease, sent_at):
+        if not self._expired(stored, lease, sent_at):
             return False
         return await self._take(
             stored, lease.fencing_number + 1, sent_at, offset
@@ -276,12 +280,15 @@
     def _expired(
         self, stored: StoredObject, lease: Lease, sent_at: float
     ) -> bool:
-        if stored.version != self._seen_version:
+        if lease.released:
+            wait_s = self._takeover_delay_s
+        else:
+            wait_s = max(lease.duration_s, self._duration_s)
+        if stored.version != self._seen_version and wait_s > 0:
             self._seen_version = stored.version
             self._seen_at = self._timers.now()
             return False
-        wait_s = max(lease.duration_s, self._duration_s)
-        return sent_at - self._seen_at >= wait_s
+        return wait_s == 0 or sent_at - self._seen_at >= wait_s
 
     async def _take(
         self,
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -13,12 +13,14 @@
 
 __all__ = [
     "Ack",
+    "AllotmentUse",
     "CompressedMemberList",
     "ConfigDelta",
     "ConfigFull",
     "ConfigRequest",
     "ConfigSubscribe",
     "EndpointLoad",
+    "EndpointWork",
     "Evidence",
     "GenerationQuery",
     "GenerationReport",
@@ -33,11 +35,14 @@
     "MemberList",
     "MemberListRequest",
     "MemberUpdate",
+    "NodeReport",
     "Ping",
     "PingRequest",
+    "PrefixUse",
     "RequestQuery",
     "RequestReply",
     "Veto",
+    "WindowUsage",
 ]
 
 
@@ -669,3 +674,126 @@
         "zone": options.Text(),
         "lagging": options.ListOf(options.Text()),
     }
+
+
+@attrs.frozen(kw_only=True)
+class EndpointWork:
+    """Work that one node has at one endpoint.
+
+    Attributes:
+      endpoint: Identifier of the endpoint.
+      requests: Requests that have not ended.
+      prefill_tokens: Prompt tokens that the endpoint has not read yet, as far
+          as the node knows.
+    """
+
+    endpoint: str
+    requests: int
+    prefill_tokens: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "endpoint": options.Text(),
+        "requests": options.Integer(minimum=0),
+        "prefill_tokens": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class AllotmentUse:
+    """What one node has admitted for one organisation.
+
+    Attributes:
+      organisation: Name of the organisation.
+      units: Units admitted since the start of the process.
+    """
+
+    organisation: str
+    units: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "organisation": options.Text(),
+        "units": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class WindowUsage:
+    """Requests that one node saw begin in one window.
+
+    Attributes:
+      window: Number of the window.
+      organisation: Name of the organisation.
+      requests: Requests that began to run.
+    """
+
+    window: int
+    organisation: str
+    requests: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "window": options.Integer(minimum=0),
+        "organisation": options.Text(),
+        "requests": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class PrefixUse:
+    """Prompt part that an endpoint has read for one node.
+
+    Attributes:
+      endpoint: Identifier of the endpoint.
+      part: Identifier of the part.
+    """
+
+    endpoint: str
+    part: str
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "endpoint": options.Text(),
+        "part": options.Text(),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class NodeReport:
+    """Figures that a node tells the others several times a second.
+
+    Attributes:
+      node: Name of the sender.
+      incarnation: Incarnation of the sender.
+      sequence: Number that rises with each report of an incarnation.
+      wall_ms: Time of day of the sender, in Unix milliseconds.
+      configuration: Version of the configuration in force; 0 before the first.
+      duties: Fencing number if the sender holds the lease on duties; 0
+          otherwise.
+      work: Work at endpoints.
+      allotments: Use of allotments.
+      usage: Usage of the newest windows.
+      prefixes: Prompt parts read since the report before.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    wall_ms: int
+    configuration: int
+    duties: int
+    work: tuple[EndpointWork, ...]
+    allotments: tuple[AllotmentUse, ...]
+    usage: tuple[WindowUsage, ...]
+    prefixes: tuple[PrefixUse, ...]
+
+    TYPE_ID: ClassVar[int] = 40
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "node": options.Text(),
+        "incarnation": options.Integer(minimum=0),
+        "sequence": options.Integer(minimum=0),
+        "wall_ms": options.Integer(minimum=0),
+        "configuration": options.Integer(minimum=0),
+        "duties": options.Integer(minimum=0),
+        "work": options.ListOf(options.Section(EndpointWork)),
+        "allotments": options.ListOf(options.Section(AllotmentUse)),
+        "usage": options.ListOf(options.Section(WindowUsage)),
+        "prefixes": options.ListOf(options.Section(PrefixUse)),
+    }
--- a/packages/guavalane-core/src/guavalane_core/objects/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/__init__.py
@@ -5,8 +5,10 @@
 from guavalane_core.objects.api import (
     MetadataEvent,
     ObjectApi,
+    ObjectBatch,
     ObjectEvent,
     ObjectMetadata,
+    PollableObjectApi,
     StoredObject,
 )
 from guavalane_core.objects.budget import (
@@ -22,8 +24,10 @@
     "MemoryObjectApi",
     "MetadataEvent",
     "ObjectApi",
+    "ObjectBatch",
     "ObjectEvent",
     "ObjectMetadata",
+    "PollableObjectApi",
     "PriorityObjectApi",
     "StoredObject",
 ]
--- a/packages/guavalane-core/src/guavalane_core/objects/api.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/api.py
@@ -91,6 +91,19 @@
     deleted: bool = False
 
 
+@attrs.frozen
+class ObjectBatch:
+    """Answer to one wait for changes.
+
+    Attributes:
+      events: Changes in order; none if the wait ended without one.
+      version: Version to wait from next.
+    """
+
+    events: tuple[ObjectEvent, ...]
+    version: str
+
+
 class ObjectApi(Protocol):
     """Calls of the object API.
 
@@ -167,3 +180,19 @@
         self, kind: str, version: str
     ) -> AsyncIterator[MetadataEvent]:
         """Yields changes like `watch`, without the content of the objects."""
+
+
+class PollableObjectApi(ObjectApi, Protocol):
+    """Object API whose watches are single waits that the caller repeats."""
+
+    async def poll(self, kind: str, version: str, wait_s: float) -> ObjectBatch:
+        """Returns changes of a kind after a version, as soon as there are any.
+
+        Args:
+          kind: Kind.
+          version: Version of the last list or batch.
+          wait_s: Longest wait in seconds.
+
+        Raises:
+          WatchGapError: The version is too old; list again.
+        """
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -0,0 +1,22 @@
+"""Choice of an endpoint for a forwarded request."""
+
+from __future__ import annotations
+
+from guavalane_core.placement.chooser import (
+    Candidate,
+    choose_endpoint,
+    rank_engines,
+)
+from guavalane_core.placement.prefixes import PrefixDirectory
+from guavalane_core.placement.rates import EngineRates
+from guavalane_core.placement.work import Work, WorkTable
+
+__all__ = [
+    "Candidate",
+    "EngineRates",
+    "PrefixDirectory",
+    "Work",
+    "WorkTable",
+    "choose_endpoint",
+    "rank_engines",
+]
--- a/packages/guavalane-core/src/guavalane_core/timers/loop.py
+++ b/packages/guavalane-core/src/guavalane_core/timers/loop.py
@@ -25,3 +25,11 @@
 
     def _schedule(self, delay_s: float, callback: Callback) -> None:
         asyncio.get_running_loop().call_later(delay_s, callback)
+
+
+class BootTimers(LoopTimers):
+    """Like `LoopTimers`, but its clock counts the time of a suspended VM."""
+
+    def now(self) -> float:
+        """Returns the time since the VM's start in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/usage/__init__.py
@@ -0,0 +1,8 @@
+"""Usage of organisations in windows of true time."""
+
+from __future__ import annotations
+
+from guavalane_core.usage.clock import TrueClock
+from guavalane_core.usage.counts import UsageCounts
+
+__all__ = ["TrueClock", "UsageCounts"]
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -0,0 +1,194 @@
+"""Reading of callers' requests and writing of endpoints' headers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from guavalane_core.forwarding import CallerRequest, Prompt, PromptPart
+from guavalane_entry.gateway.errors import MalformedRequestError
+from guavalane_entry.gateway.names import CONNECTION_HEADERS, HeaderNames
+
+# Longest time that a caller may ask for, in seconds; larger values are a
+# mistake of the caller.
+MAX_TIME_LIMIT_S = 86_400.0
+
+
+class RequestCodec:
+    """Translates between headers and the facts of a request.
+
+    Args:
+      names: Header names of the deployment.
+    """
+
+    def __init__(self, names: HeaderNames) -> None:
+        self._names = names
+        self._not_forwarded = names.not_forwarded
+
+    @property
+    def names(self) -> HeaderNames:
+        """Header names of the deployment."""
+        return self._names
+
+    def read(
+        self,
+        method: str,
+        host: str,
+        target: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        arrived_s: float,
+    ) -> CallerRequest:
+        """Returns the request of a caller.
+
+        Raises:
+          MalformedRequestError: A header that the system uses is doubled or
+              cannot be understood.
+        """
+        names = self._names
+        headers = list(headers)
+        facts = _single_values(headers, names)
+        if not target.startswith("/"):
+            raise MalformedRequestError("the target is not a path")
+        dropped = self._not_forwarded | _named_by_connection(headers)
+        return CallerRequest(
+            request_id=facts.get(names.request_id.lower(), ""),
+            method=method,
+            host=host.partition(":")[0].lower(),
+            target=target,
+            headers=tuple(
+                (name, value)
+                for name, value in headers
+                if name.lower() not in dropped
+            ),
+            body=body,
+            arrived_s=arrived_s,
+            time_limit_s=_read_time_limit(
+                facts.get(names.time_left_ms.lower())
+            ),
+            key=_read_key(facts.get("authorization"), names.key_scheme),
+            prompt=self._read_prompt(facts),
+            resume_after=facts.get(names.resume_after.lower()),
+        )
+
+    def endpoint_headers(
+        self,
+        request: CallerRequest,
+        *,
+        endpoint_id: str,
+        organisation: str | None,
+        time_left_s: float,
+        urgency: int | None,
+        resume_after: str | None,
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of one attempt at an endpoint."""
+        names = self._names
+        headers = [("Host", request.host), *request.headers]
+        headers.append((names.expected_endpoint, endpoint_id))
+        left_ms = max(1, int(time_left_s * 1000))
+        headers.append((names.time_left_ms, str(left_ms)))
+        if organisation is not None:
+            headers.append((names.organisation, organisation))
+        if urgency is not None:
+            headers.append((names.urgency, str(urgency)))
+        if resume_after is not None:
+            headers.append((names.resume_after, resume_after))
+        return headers
+
+    def answer_headers(
+        self, headers: Iterable[tuple[str, str]]
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of an endpoint's answer that callers get."""
+        headers = list(headers)
+        dropped = CONNECTION_HEADERS | _named_by_connection(headers)
+        return [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in dropped
+        ]
+
+    def _read_prompt(self, facts: dict[str, str]) -> Prompt | None:
+        names = self._names
+        model = facts.get(names.model.lower())
+        counts = facts.get(names.token_counts.lower())
+        if model is None or counts is None:
+            return None
+        try:
+            input_tokens, output_tokens = (int(n) for n in counts.split(","))
+            hint = facts.get(names.output_hint.lower())
+            return Prompt(
+                model=model,
+                input_tokens=input_tokens,
+                max_output_tokens=output_tokens,
+                parts=_read_parts(facts.get(names.prompt_parts.lower(), "")),
+                likely_output_tokens=None if hint is None else int(hint),
+            )
+        except ValueError:
+            raise MalformedRequestError(
+                "the headers that describe the prompt cannot be understood"
+            ) from None
+
+
+def _single_values(
+    headers: list[tuple[str, str]], names: HeaderNames
+) -> dict[str, str]:
+    used = {
+        name.lower()
+        for name in (
+            names.request_id,
+            names.time_left_ms,
+            names.model,
+            names.token_counts,
+            names.prompt_parts,
+            names.output_hint,
+            names.resume_after,
+            "authorization",
+            "host",
+        )
+    }
+    values: dict[str, str] = {}
+    for name, value in headers:
+        key = name.lower()
+        if key not in used:
+            continue
+        if key in values:
+            raise MalformedRequestError(f"header {name} is doubled")
+        values[key] = value.strip()
+    return values
+
+
+def _named_by_connection(headers: list[tuple[str, str]]) -> frozenset[str]:
+    named = [
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    ]
+    return frozenset(named)
+
+
+def _read_time_limit(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        limit_s = float(text) / 1000
+    except ValueError:
+        raise MalformedRequestError("the time limit is not a number") from None
+    if not 0 <= limit_s <= MAX_TIME_LIMIT_S:
+        raise MalformedRequestError("the time limit is out of range")
+    return limit_s
+
+
+def _read_key(text: str | None, scheme: str) -> str | None:
+    if text is None:
+        return None
+    given, _, key = text.partition(" ")
+    return key.strip() if given.lower() == scheme.lower() else None
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(","):
+        if entry.strip():
+            part_id, _, tokens = entry.strip().partition(":")
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -0,0 +1,93 @@
+"""Answers of the system itself to callers."""
+
+from __future__ import annotations
+
+from guavalane_core.exceptions import RequestError
+
+
+class RefusalError(RequestError):
+    """The request has not run and never will.
+
+    Attributes:
+      retry_after_s: Time after which a repeat may succeed, in seconds.
+    """
+
+    code = "overloaded"
+    status = 503
+
+    def __init__(
+        self, message: str, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(message, not_run=True)
+        self.retry_after_s = retry_after_s
+
+
+class NotConfiguredError(RefusalError):
+    """The node knows no configuration yet."""
+
+    code = "not_configured"
+
+
+class NoEndpointError(RefusalError):
+    """No endpoint of the service takes requests."""
+
+    code = "no_endpoint"
+
+
+class AllotmentSpentError(RefusalError):
+    """The organisation has used its allotment."""
+
+    code = "allotment_spent"
+    status = 429
+
+
+class UnknownRouteError(RefusalError):
+    """No route matches the host and path."""
+
+    code = "unknown_route"
+    status = 404
+
+
+class UnknownKeyError(RefusalError):
+    """The key is missing or unknown."""
+
+    code = "unknown_key"
+    status = 401
+
+
+class MalformedRequestError(RefusalError):
+    """The request cannot be understood."""
+
+    code = "invalid_request"
+    status = 400
+
+
+class BodyTooLargeError(RefusalError):
+    """The body exceeds the limit of the configuration."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class HeaderTooLargeError(RefusalError):
+    """The header exceeds the limit of the configuration."""
+
+    code = "header_too_large"
+    status = 431
+
+
+class OutcomeUnknownError(RequestError):
+    """The request was sent and may have run, but there is no answer."""
+
+    code = "outcome_unknown"
+    status = 502
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, not_run=False)
+
+
+class AnswerTimeoutError(OutcomeUnknownError):
+    """The request may have run, but its time has ended."""
+
+    code = "answer_timeout"
+    status = 504
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -0,0 +1,281 @@
+"""HTTP server for callers and for readiness checks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+from aiohttp import web
+from loguru import logger as log
+
+from guavalane_core.forwarding import CallerLimits, CallerRequest
+from guavalane_core.timers import Timers
+from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.errors import (
+    BodyTooLargeError,
+    HeaderTooLargeError,
+    RefusalError,
+)
+from guavalane_entry.gateway.forwarder import problem_of
+from guavalane_entry.gateway.settings import Address
+
+# Connections that wait to be accepted; all callers may come at once after a
+# common start.
+BACKLOG = 1024
+# An idle connection is kept for this multiple of the configured time, so that
+# a caller who keeps to that time never meets a closing connection.
+IDLE_FACTOR = 1.25
+# Time to read the rest of a body after an early answer, in seconds.
+LINGERING_S = 2.0
+MAX_LINE_BYTES = 65_536
+
+Handler = Callable[[CallerRequest, "ConnectionReply"], Awaitable[None]]
+
+
+class ConnectionReply:
+    """Answer on the connection of one request.
+
+    Args:
+      request: Request of the HTTP library.
+      closing: Whether the connection closes after the answer.
+    """
+
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        self._request = request
+        self._closing = closing
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has got the status."""
+        return self._response is not None
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """Answer of the HTTP library; None before the status is sent."""
+        return self._response
+
+    async def send_whole(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        response = self._make(status, headers)
+        response.content_length = len(body)
+        await response.prepare(self._request)
+        await response.write_eof(body)
+
+    async def begin(
+        self, status: int, headers: Sequence[tuple[str, str]]
+    ) -> None:
+        """Sends the status and headers of an answer in pieces."""
+        response = self._make(status, headers)
+        response.enable_chunked_encoding()
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Sends a piece of the body."""
+        await self._response.write(data)
+
+    async def finish(self) -> None:
+        """Ends the body, so that the caller sees it as complete."""
+        await self._response.write_eof()
+
+    def abort(self) -> None:
+        """Closes the connection, so that the answer is seen as broken."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+
+    def _make(
+        self, status: int, headers: Sequence[tuple[str, str]]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=status)
+        for name, value in headers:
+            response.headers.add(name, value)
+        if self._closing:
+            response.force_close()
+        self._response = response
+        return response
+
+
+class _LimitedServer(web.Server):
+    """Server whose connections get the limits in force when they open."""
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
+
+    def __call__(self) -> web.RequestHandler:
+        limits = self._limits()
+        return web.RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=limits.idle_timeout_s * IDLE_FACTOR,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            lingering_time=LINGERING_S,
+            auto_decompress=False,
+            access_log=None,
+        )
+
+
+class CallerListener:
+    """Reads callers' requests and hands them to a handler.
+
+    Args:
+      address: Address to listen on.
+      codec: Translation of headers.
+      timers: Timer service.
+      limits: Function that returns the limits in force.
+      handler: Function that answers a request.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        codec: RequestCodec,
+        timers: Timers,
+        limits: Callable[[], CallerLimits],
+        handler: Handler,
+    ) -> None:
+        self._address = address
+        self._codec = codec
+        self._timers = timers
+        self._limits = limits
+        self._handler = handler
+        self._closing = False
+        self._active = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._server: _LimitedServer | None = None
+        self._sockets: asyncio.Server | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests that have no final answer."""
+        return self._active
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        self._server = _LimitedServer(self._serve, self._limits)
+        self._sockets = await asyncio.get_running_loop().create_server(
+            self._server,
+            self._address.host,
+            self._address.port,
+            backlog=BACKLOG,
+        )
+
+    def close_after_answers(self) -> None:
+        """Lets each connection end with its next answer."""
+        self._closing = True
+
+    async def drain(self, timeout_s: float) -> None:
+        """Stops to listen and waits for the answers under way.
+
+        Args:
+          timeout_s: Longest wait in seconds.
+        """
+        self._sockets.close()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            log.warning("listener: {} requests left at stop", self._active)
+        await self._server.shutdown(0)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        reply = ConnectionReply(request, self._closing)
+        self._active += 1
+        self._idle.clear()
+        try:
+            try:
+                caller_request = await self._read(request)
+            except RefusalError as error:
+                await reply.send_whole(*problem_of(error))
+                return reply.response
+            await self._handler(caller_request, reply)
+        finally:
+            self._active -= 1
+            if self._active == 0:
+                self._idle.set()
+        return reply.response
+
+    async def _read(self, request: web.BaseRequest) -> CallerRequest:
+        arrived_s = self._timers.now()
+        limits = self._limits()
+        raw_headers = request.raw_headers
+        size = sum(len(name) + len(value) + 4 for name, value in raw_headers)
+        if size + len(request.raw_path) > limits.header_bytes:
+            raise HeaderTooLargeError("the header is too large")
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in raw_headers
+        ]
+        body = await self._read_body(request, limits.body_bytes)
+        return self._codec.read(
+            request.method,
+            request.headers.get("Host", ""),
+            request.raw_path,
+            headers,
+            body,
+            arrived_s,
+        )
+
+    async def _read_body(
+        self, request: web.BaseRequest, limit_bytes: int
+    ) -> bytes:
+        if not request.can_read_body:
+            return b""
+        if (request.content_length or 0) > limit_bytes:
+            raise BodyTooLargeError("the body is too large")
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = bytearray()
+        async for data in request.content.iter_any():
+            body += data
+            if len(body) > limit_bytes:
+                raise BodyTooLargeError("the body is too large")
+        return bytes(body)
+
+
+class StatusListener:
+    """Answers GET requests for a few paths with short texts.
+
+    Args:
+      address: Address to listen on.
+      paths: Functions that return status and body, by path.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        paths: dict[str, Callable[[], tuple[int, bytes]]],
+    ) -> None:
+        self._address = address
+        self._paths = paths
+        self._server: web.Server | None = None
+        self._sockets: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        self._server = web.Server(self._serve, access_log=None)
+        self._sockets = await asyncio.get_running_loop().create_server(
+            self._server, self._address.host, self._address.port
+        )
+
+    async def stop(self) -> None:
+        """Closes the listening socket and all connections."""
+        if self._sockets is not None:
+            self._sockets.close()
+            await self._server.shutdown(0)
+
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        answer = self._paths.get(request.path)
+        if answer is None or request.method != "GET":
+            return web.Response(status=404)
+        status, body = answer()
+        return web.Response(status=status, body=body)
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -0,0 +1,212 @@
+"""Life cycle of a gateway node."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from loguru import logger as log
+
+from guavalane_core.exceptions import (
+    ObjectApiError,
+    ObjectConflictError,
+)
+from guavalane_core.forwarding import CallerLimits
+from guavalane_core.objects import PollableObjectApi
+from guavalane_core.tasks import cancel_tasks
+from guavalane_core.timers import Timers
+from guavalane_entry.gateway import replica_duty, usage_duty  # noqa: F401
+from guavalane_entry.gateway.channels import EndpointChannels
+from guavalane_entry.gateway.cloud import Cloud
+from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.duties import DutyContext, DutyRunner
+from guavalane_entry.gateway.forwarder import Forwarder
+from guavalane_entry.gateway.listener import CallerListener, StatusListener
+from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.reports import PeerReports
+from guavalane_entry.gateway.settings import GatewaySettings
+from guavalane_entry.gateway.sinks import (
+    ConfigurationDecoder,
+    ConfigurationSink,
+    EndpointDecoder,
+    EndpointSink,
+    PeerSink,
+)
+from guavalane_entry.gateway.view import NodeView
+from guavalane_entry.gateway.watch import KindWatch
+from guavalane_entry.metrics import Metrics
+
+NODE_KIND = "nodes"
+# Time between two looks at endpoints whose grace may have ended, in seconds.
+EXPIRY_PERIOD_S = 0.25
+# Time after SIGTERM for which new connections are taken, in seconds: the load
+# balancer checks once a second and needs two failed checks.
+UNREADY_S = 2.5
+# Part of the stop grace that is kept for closing, in seconds.
+CLOSING_S = 0.7
+# Time before the registration of the node is tried again, in seconds.
+REGISTER_DELAY_S = 0.5
+
+
+class GatewayNode:
+    """Builds the parts of a node and runs them.
+
+    Args:
+      settings: Settings.
+      names: Header names of the deployment.
+      api: Object API.
+      cloud: Calls of the platform.
+      configuration_kind: Kind of the configuration and its decoder.
+      endpoint_kind: Kind of the endpoints' entries and their decoder.
+      timers: Timer service.
+      rng: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        names: HeaderNames,
+        api: PollableObjectApi,
+        cloud: Cloud,
+        configuration_kind: tuple[str, ConfigurationDecoder],
+        endpoint_kind: tuple[str, EndpointDecoder],
+        timers: Timers,
+        rng: random.Random | None = None,
+    ) -> None:
+        rng = rng or random.Random()
+        self._settings = settings
+        self._timers = timers
+        self._api = api
+        self._metrics = Metrics()
+        self._log = DecisionLog(settings.name, timers.wall)
+        self._view = NodeView(settings, timers, rng)
+        self._incarnation = int(timers.wall() * 1000)
+        self._reports = PeerReports(
+            self._view, timers, self._log, self._incarnation
+        )
+        self._channels = EndpointChannels()
+        codec = RequestCodec(names)
+        forwarder = Forwarder(
+            self._view, self._channels, codec, self._log, self._metrics
+        )
+        self._callers = CallerListener(
+            settings.callers, codec, timers, self._limits, forwarder.forward
+        )
+        self._readiness = StatusListener(
+            settings.readiness, {settings.readiness_path: self._answer_ready}
+        )
+        self._metrics_listener = StatusListener(
+            settings.metrics,
+            {"/metrics": lambda: (200, self._metrics.render())},
+        )
+        self._watches = self._make_watches(configuration_kind, endpoint_kind)
+        context = DutyContext(self._view, api, cloud, self._log)
+        self._duties = DutyRunner(
+            context, self._reports, timers, self._incarnation
+        )
+        self._stopping = False
+        self._register_task: asyncio.Task | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node takes new callers."""
+        return (
+            not self._stopping
+            and self._view.table is not None
+            and self._watches["endpoints"].listed
+        )
+
+    async def start(self) -> None:
+        """Starts all parts."""
+        self._log.start()
+        self._log.event(
+            "node.started", zone=self._settings.zone, boot=self._incarnation
+        )
+        await self._readiness.start()
+        await self._metrics_listener.start()
+        await self._callers.start()
+        await self._reports.start()
+        for watch in self._watches.values():
+            watch.start()
+        self._register_task = asyncio.create_task(self._register())
+        self._duties.start()
+        self._timers.call_every(EXPIRY_PERIOD_S, self._expire)
+
+    async def stop(self) -> None:
+        """Stops without cutting off a request, within the grace."""
+        began_s = self._timers.now()
+        self._stopping = True
+        self._log.event("node.stopping", active=self._callers.active)
+        self._callers.close_after_answers()
+        await self._duties.stop()
+        await self._timers.sleep(UNREADY_S)
+        spent_s = self._timers.now() - began_s
+        left_s = self._settings.stop_grace_s - spent_s - CLOSING_S
+        await self._callers.drain(max(0.0, left_s))
+        await cancel_tasks(self._register_task)
+        for watch in self._watches.values():
+            await watch.stop()
+        self._reports.stop()
+        await self._channels.close()
+        await self._metrics_listener.stop()
+        await self._readiness.stop()
+        self._log.event("node.stopped", left=self._callers.active)
+        self._log.stop()
+
+    def _limits(self) -> CallerLimits:
+        table = self._view.table
+        return table.configuration.limits if table else CallerLimits()
+
+    def _answer_ready(self) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.ready else (503, b"not ready\n")
+
+    def _make_watches(
+        self,
+        configuration_kind: tuple[str, ConfigurationDecoder],
+        endpoint_kind: tuple[str, EndpointDecoder],
+    ) -> dict[str, KindWatch]:
+        kinds = {
+            "configuration": (
+                configuration_kind[0],
+                ConfigurationSink(self._view, configuration_kind[1], self._log),
+            ),
+            "endpoints": (
+                endpoint_kind[0],
+                EndpointSink(self._view, endpoint_kind[1], self._log),
+            ),
+            "nodes": (NODE_KIND, PeerSink(self._view)),
+        }
+        return {
+            name: KindWatch(
+                self._api, kind, sink, self._timers, self._log, self._view.rng
+            )
+            for name, (kind, sink) in kinds.items()
+        }
+
+    def _expire(self) -> None:
+        for name in self._view.directory.expire(self._timers.now()):
+            self._log.event("endpoint.expired", endpoint=name)
+
+    async def _register(self) -> None:
+        """Lists this node, so that the others send it their reports."""
+        body = {
+            "address": str(self._settings.peers),
+            "zone": self._settings.zone,
+            "incarnation": self._incarnation,
+        }
+        name = self._settings.name
+        while True:
+            try:
+                try:
+                    await self._api.create(NODE_KIND, name, body)
+                except ObjectConflictError:
+                    stored = await self._api.get(NODE_KIND, name)
+                    if stored.body.get("address") != body["address"]:
+                        await self._api.update(
+                            NODE_KIND, name, body, stored.version
+                        )
+                return
+            except ObjectApiError as error:
+                log.debug("node: not registered yet: {}", error)
+            await self._timers.sleep(REGISTER_DELAY_S)
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -0,0 +1,206 @@
+"""Reports between nodes over UDP.
+
+All figures of a report are totals, so a lost or doubled datagram does no harm,
+and no connection can be cut or go silent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from guavalane_core.exceptions import MessageError
+from guavalane_core.messages import (
+    AllotmentUse,
+    EndpointWork,
+    NodeReport,
+    PrefixUse,
+    WindowUsage,
+    decode,
+    encode,
+)
+from guavalane_core.placement.work import Load
+from guavalane_core.timers import Timers
+from guavalane_core.usage.counts import WindowCount
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.view import NodeView
+
+# Time between two reports, in seconds.
+REPORT_PERIOD_S = 0.25
+JITTER = 0.2
+# A node that was not heard for this time, in seconds, is taken as silent.
+SILENT_S = 2.0
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, reports: PeerReports) -> None:
+        self._reports = reports
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        self._reports.receive(data)
+
+    def error_received(self, exc: OSError) -> None:
+        # A peer that is down refuses datagrams; its silence is noticed.
+        pass
+
+
+class PeerReports:
+    """Sends this node's report to all others and takes theirs.
+
+    Args:
+      view: State to report and to change.
+      timers: Timer service.
+      log: Log of decisions.
+      incarnation: Start of this process, as an ordered number.
+    """
+
+    def __init__(
+        self,
+        view: NodeView,
+        timers: Timers,
+        log: DecisionLog,
+        incarnation: int,
+    ) -> None:
+        self._view = view
+        self._timers = timers
+        self._log = log
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._duties = 0
+        # Newest incarnation and sequence, time heard and fencing number of
+        # each node.
+        self._newest: dict[str, tuple[int, int]] = {}
+        self._heard: dict[str, float] = {}
+        self._holders: dict[str, int] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Starts to receive and send."""
+        address = self._view.settings.peers
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), (address.host, address.port)
+        )
+        self._timers.call_every(
+            REPORT_PERIOD_S, self.send, jitter=JITTER, rng=self._view.rng
+        )
+
+    def stop(self) -> None:
+        """Sends a last report and closes the socket."""
+        if self._transport is not None:
+            self.send()
+            self._transport.close()
+            self._transport = None
+
+    def set_duties(self, fencing_number: int) -> None:
+        """Sets what the next reports tell of the lease on duties."""
+        self._duties = fencing_number
+
+    def live_peers(self) -> list[str]:
+        """Returns the nodes that were heard lately."""
+        now_s = self._timers.now()
+        return [
+            node
+            for node, heard_s in self._heard.items()
+            if now_s - heard_s <= SILENT_S
+        ]
+
+    def hears_holder(self) -> bool:
+        """Returns whether a live node says that it holds the duties."""
+        return any(self._holders.get(node) for node in self.live_peers())
+
+    def send(self) -> None:
+        """Sends one report to every other node."""
+        if self._transport is None:
+            return
+        frame = encode(self.make())
+        for address in self._view.peers.values():
+            parsed = Address.parse(address)
+            self._transport.sendto(frame, (parsed.host, parsed.port))
+        self._share_allotments()
+
+    def make(self) -> NodeReport:
+        """Returns the next report."""
+        view = self._view
+        self._sequence += 1
+        table = view.table
+        return NodeReport(
+            node=view.settings.name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            wall_ms=int(self._timers.wall() * 1000),
+            configuration=table.configuration.version if table else 0,
+            duties=self._duties,
+            work=tuple(
+                EndpointWork(
+                    endpoint=endpoint_id,
+                    requests=load.requests,
+                    prefill_tokens=load.prefill_tokens,
+                )
+                for endpoint_id, load in view.work.own_loads().items()
+            ),
+            allotments=tuple(
+                AllotmentUse(organisation=name, units=max(0, units))
+                for name, units in view.allotments.drawn.items()
+            ),
+            usage=tuple(
+                WindowUsage(
+                    window=count.window,
+                    organisation=count.organisation,
+                    requests=count.requests,
+                )
+                for count in view.usage.own()
+            ),
+            prefixes=tuple(
+                PrefixUse(endpoint=endpoint_id, part=part_id)
+                for endpoint_id, part_id in view.prefixes.take_recent()
+            ),
+        )
+
+    def receive(self, data: bytes) -> None:
+        """Takes the report of another node."""
+        try:
+            report = decode(data)
+        except MessageError as error:
+            self._log.event("peer.invalid", reason=str(error))
+            return
+        if not isinstance(report, NodeReport):
+            self._log.event("peer.invalid", reason="not a report")
+            return
+        order = (report.incarnation, report.sequence)
+        if order <= self._newest.get(report.node, (0, 0)):
+            return
+        self._newest[report.node] = order
+        self._apply(report)
+
+    def _apply(self, report: NodeReport) -> None:
+        view = self._view
+        now_s = self._timers.now()
+        node = report.node
+        if now_s - self._heard.get(node, -SILENT_S) > SILENT_S:
+            self._log.event("peer.heard", peer=node)
+        self._heard[node] = now_s
+        self._holders[node] = report.duties
+        view.clock.observe(node, report.wall_ms / 1000)
+        loads = {
+            work.endpoint: Load(work.requests, work.prefill_tokens)
+            for work in report.work
+        }
+        view.work.report(node, loads, now_s)
+        totals = {use.organisation: use.units for use in report.allotments}
+        view.allotments.report(node, report.incarnation, totals, now_s)
+        view.usage.report(
+            node,
+            report.incarnation,
+            [
+                WindowCount(u.window, u.organisation, u.requests)
+                for u in report.usage
+            ],
+        )
+        for use in report.prefixes:
+            view.prefixes.record_part(use.endpoint, use.part, now_s)
+
+    def _share_allotments(self) -> None:
+        known = self._view.node_count
+        heard = len(set(self.live_peers()) & set(self._view.peers))
+        self._view.allotments.set_part((heard + 1) / known, self._timers.now())
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -0,0 +1,70 @@
+"""Choice of the endpoint for one attempt."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from guavalane_core.forwarding import CallerRequest, Endpoint, Service
+from guavalane_core.placement import Candidate, choose_endpoint, rank_engines
+from guavalane_entry.gateway.view import NodeView
+
+
+def select_endpoint(
+    view: NodeView,
+    service: Service,
+    request: CallerRequest,
+    tried: Collection[str],
+) -> Candidate | None:
+    """Returns the endpoint for the next attempt; None if there is none.
+
+    Args:
+      view: What the node believes.
+      service: Service of the request.
+      request: Request.
+      tried: Endpoints that the request was sent to already.
+    """
+    now_s = view.timers.now()
+    usable = [
+        endpoint
+        for endpoint in view.directory.usable(service.name)
+        if endpoint.endpoint_id not in tried
+        and _has_connection(view, service, endpoint)
+    ]
+    held = view.ejector.held([e.endpoint_id for e in usable], now_s)
+    candidates = [
+        _candidate(view, request, endpoint, now_s)
+        for endpoint in usable
+        if endpoint.endpoint_id not in held
+    ]
+    zone = view.settings.zone
+    if service.engine is None or request.prompt is None:
+        return choose_endpoint(candidates, zone)
+    ranked = rank_engines(
+        candidates,
+        request.prompt,
+        service.engine,
+        view.rates(service.name),
+        zone,
+    )
+    return ranked[0][1] if ranked else None
+
+
+def _candidate(
+    view: NodeView, request: CallerRequest, endpoint: Endpoint, now_s: float
+) -> Candidate:
+    cached = 0
+    if request.prompt is not None:
+        cached = view.prefixes.cached_tokens(
+            endpoint.endpoint_id, request.prompt, now_s
+        )
+    load = view.work.total(endpoint.endpoint_id, now_s)
+    return Candidate(endpoint, load, cached)
+
+
+def _has_connection(
+    view: NodeView, service: Service, endpoint: Endpoint
+) -> bool:
+    # All nodes share an endpoint's connections without a message: each keeps
+    # to an equal part, at least one.
+    part = max(1, service.max_connections // view.node_count)
+    return view.work.own(endpoint.endpoint_id).requests < part
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -0,0 +1,81 @@
+"""Settings of a gateway node."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Address:
+    """IP address and port.
+
+    Attributes:
+      host: IP number.
+      port: Port.
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Returns the address of a text `IP:PORT`.
+
+        Raises:
+          ValueError: The text has another form.
+        """
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not port.isdecimal():
+            raise ValueError(f"expected IP:PORT, got {text!r}")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class RetryLimits:
+    """Bound on repeated arrivals at a service, over all nodes.
+
+    Attributes:
+      ratio: Repeats per request.
+      slack: Repeats besides, per window.
+      window_s: Length of the sliding window in seconds.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+    window_s: float = 10.0
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of one process.
+
+    Attributes:
+      name: Name of the node.
+      zone: Availability zone of the node.
+      callers: Address for callers.
+      readiness: Address for the load balancer's readiness checks.
+      peers: Address for the reports of other nodes (UDP).
+      metrics: Address for metrics.
+      readiness_path: Path that answers 200 while the node is ready.
+      retries: Bound on repeats.
+      usage_window_s: Length of a window of usage in seconds.
+      usage_due_s: Time after the end of a window at which its usage is due.
+      lease_s: Duration of the lease on duties in seconds.
+      stop_grace_s: Time from SIGTERM to SIGKILL in seconds.
+    """
+
+    name: str
+    zone: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+    readiness_path: str = "/readyz"
+    retries: RetryLimits = RetryLimits()
+    usage_window_s: float = 5.0
+    usage_due_s: float = 10.0
+    lease_s: float = 3.0
+    stop_grace_s: float = 8.0
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -0,0 +1,179 @@
+"""Receivers of the objects that a node follows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from guavalane_core.exceptions import ConfigurationError
+from guavalane_core.forwarding import Endpoint, ForwardingConfiguration
+from guavalane_core.objects import ObjectEvent, StoredObject
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.view import NodeView
+
+ConfigurationDecoder = Callable[[StoredObject], ForwardingConfiguration]
+EndpointDecoder = Callable[[StoredObject], Endpoint]
+
+
+class ConfigurationSink:
+    """Puts each newer configuration in force.
+
+    Args:
+      view: State to change.
+      decode: Function that reads a stored configuration; it raises
+          `ConfigurationError` for one that cannot be read.
+      log: Log of decisions.
+    """
+
+    def __init__(
+        self, view: NodeView, decode: ConfigurationDecoder, log: DecisionLog
+    ) -> None:
+        self._view = view
+        self._decode = decode
+        self._log = log
+
+    def replace_all(self, objects: list[StoredObject]) -> None:
+        """Takes a complete list."""
+        for stored in objects:
+            self._take(stored)
+
+    def apply(self, event: ObjectEvent) -> None:
+        """Takes one change; a configuration that is deleted stays in force."""
+        if not event.deleted:
+            self._take(event.object)
+
+    def lose(self) -> None:
+        """Keeps the configuration in force."""
+
+    def regain(self) -> None:
+        """Keeps the configuration in force."""
+
+    def _take(self, stored: StoredObject) -> None:
+        try:
+            configuration = self._decode(stored)
+        except ConfigurationError as error:
+            self._log.event(
+                "configuration.ignored", name=stored.name, reason=str(error)
+            )
+            return
+        in_force = self._view.offer(configuration)
+        self._log.event(
+            "configuration.offered",
+            version=configuration.version,
+            in_force=in_force,
+            routes=len(configuration.routes),
+        )
+
+
+class EndpointSink:
+    """Keeps the directory of endpoints current.
+
+    Args:
+      view: State to change.
+      decode: Function that reads a stored endpoint; it raises
+          `ConfigurationError` for one that cannot be read.
+      log: Log of decisions.
+    """
+
+    def __init__(
+        self, view: NodeView, decode: EndpointDecoder, log: DecisionLog
+    ) -> None:
+        self._view = view
+        self._decode = decode
+        self._log = log
+
+    def replace_all(self, objects: list[StoredObject]) -> None:
+        """Takes a complete list."""
+        endpoints = [
+            endpoint
+            for stored in objects
+            if (endpoint := self._read(stored)) is not None
+        ]
+        for endpoint in endpoints:
+            self._note(endpoint)
+        self._view.directory.replace_all(endpoints, self._now())
+
+    def apply(self, event: ObjectEvent) -> None:
+        """Takes one change."""
+        name = event.object.name
+        if event.deleted:
+            self._log.event("endpoint.removed", endpoint=name)
+            self._view.directory.remove(name, self._now())
+            return
+        endpoint = self._read(event.object)
+        if endpoint is None:
+            self._view.directory.remove(name, self._now())
+            return
+        self._note(endpoint)
+        self._view.directory.put(endpoint)
+
+    def lose(self) -> None:
+        """Keeps endpoints whose entries may expire meanwhile."""
+        self._view.directory.lose_discovery()
+
+    def regain(self) -> None:
+        """Starts the time in which entries may come back."""
+        self._view.directory.regain_discovery(self._now())
+
+    def _now(self) -> float:
+        return self._view.timers.now()
+
+    def _read(self, stored: StoredObject) -> Endpoint | None:
+        try:
+            return self._decode(stored)
+        except ConfigurationError as error:
+            self._log.event(
+                "endpoint.ignored", endpoint=stored.name, reason=str(error)
+            )
+            return None
+
+    def _note(self, endpoint: Endpoint) -> None:
+        name = endpoint.endpoint_id
+        known = self._view.directory.get(name)
+        if known is not None and known.started_ms != endpoint.started_ms:
+            # A restarted endpoint holds nothing of before.
+            self._view.prefixes.forget(name)
+            self._view.ejector.forget(name)
+        if known is None or known.leaving != endpoint.leaving:
+            self._log.event(
+                "endpoint.listed",
+                endpoint=name,
+                service=endpoint.service,
+                zone=endpoint.zone,
+                address=endpoint.address,
+                leaving=endpoint.leaving,
+            )
+
+
+class PeerSink:
+    """Keeps the addresses of other nodes.
+
+    Args:
+      view: State to change.
+    """
+
+    def __init__(self, view: NodeView) -> None:
+        self._view = view
+
+    def replace_all(self, objects: list[StoredObject]) -> None:
+        """Takes a complete list."""
+        self._view.peers.clear()
+        for stored in objects:
+            self._put(stored)
+
+    def apply(self, event: ObjectEvent) -> None:
+        """Takes one change."""
+        if event.deleted:
+            self._view.peers.pop(event.object.name, None)
+        else:
+            self._put(event.object)
+
+    def lose(self) -> None:
+        """Keeps the nodes that are known."""
+
+    def regain(self) -> None:
+        """Keeps the nodes that are known."""
+
+    def _put(self, stored: StoredObject) -> None:
+        address = stored.body.get("address")
+        if stored.name != self._view.settings.name and address:
+            self._view.peers[stored.name] = address
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -0,0 +1,84 @@
+"""What a node believes of the deployment."""
+
+from __future__ import annotations
+
+import random
+
+from guavalane_core.allotments import AllotmentLedger
+from guavalane_core.forwarding import (
+    EndpointDirectory,
+    ForwardingConfiguration,
+    RouteTable,
+    SharedRetryBudget,
+)
+from guavalane_core.placement import EngineRates, PrefixDirectory, WorkTable
+from guavalane_core.routing.ejection import OutlierEjector
+from guavalane_core.timers import Timers
+from guavalane_core.usage import TrueClock, UsageCounts
+from guavalane_entry.gateway.settings import GatewaySettings
+
+
+class NodeView:
+    """State that the tasks of one node share.
+
+    Args:
+      settings: Settings of the node.
+      timers: Timer service.
+      rng: Source of random choices.
+    """
+
+    def __init__(
+        self, settings: GatewaySettings, timers: Timers, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.timers = timers
+        self.rng = rng
+        self.directory = EndpointDirectory()
+        self.work = WorkTable()
+        self.prefixes = PrefixDirectory()
+        self.ejector = OutlierEjector()
+        self.allotments = AllotmentLedger()
+        self.clock = TrueClock(timers)
+        self.usage = UsageCounts(settings.usage_window_s)
+        self.peers: dict[str, str] = {}
+        self._table: RouteTable | None = None
+        self._retries: dict[str, SharedRetryBudget] = {}
+        self._rates: dict[str, EngineRates] = {}
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Configuration in force; None before the first."""
+        return self._table
+
+    @property
+    def node_count(self) -> int:
+        """Nodes that are known, this one included."""
+        return len(self.peers) + 1
+
+    def offer(self, configuration: ForwardingConfiguration) -> bool:
+        """Takes a configuration if its version is higher; tells whether."""
+        current = self._table
+        if (
+            current is not None
+            and configuration.version <= current.configuration.version
+        ):
+            return False
+        self._table = RouteTable(configuration)
+        self.allotments.set_organisations(
+            configuration.organisations or (), self.timers.now()
+        )
+        return True
+
+    def retries(self, service: str) -> SharedRetryBudget:
+        """Returns the retry budget of a service."""
+        budget = self._retries.get(service)
+        if budget is None:
+            limits = self.settings.retries
+            budget = self._retries[service] = SharedRetryBudget(
+                limits.ratio, limits.slack, limits.window_s
+            )
+        return budget
+
+    def rates(self, service: str) -> EngineRates:
+        """Returns the speeds of a service's engines."""
+        return self._rates.setdefault(service, EngineRates())
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -0,0 +1,140 @@
+"""A node's copy of one kind of objects."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Protocol
+
+from guavalane_core.exceptions import ObjectApiError, WatchGapError
+from guavalane_core.objects import (
+    ObjectEvent,
+    PollableObjectApi,
+    StoredObject,
+)
+from guavalane_core.tasks import cancel_tasks
+from guavalane_core.timers import Timers
+from guavalane_entry.gateway.decision_log import DecisionLog
+
+# Longest wait of one call, in seconds. Each call has its price, and a broken
+# connection shows by its keep-alive probes.
+WAIT_S = 25.0
+# First and longest delay before a failed call is repeated, in seconds. The
+# longest is short against the time in which a change has to be in force.
+FIRST_DELAY_S = 0.1
+LONGEST_DELAY_S = 0.8
+
+
+class KindSink(Protocol):
+    """Receives the objects of one kind."""
+
+    def replace_all(self, objects: list[StoredObject]) -> None:
+        """Takes a complete list."""
+
+    def apply(self, event: ObjectEvent) -> None:
+        """Takes one change."""
+
+    def lose(self) -> None:
+        """Notes that the object API does not answer."""
+
+    def regain(self) -> None:
+        """Notes that the object API answers again."""
+
+
+class KindWatch:
+    """Lists a kind once and then follows its changes.
+
+    Args:
+      api: Object API.
+      kind: Kind.
+      sink: Receiver of objects.
+      timers: Timer service.
+      log: Log of decisions.
+      rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        api: PollableObjectApi,
+        kind: str,
+        sink: KindSink,
+        timers: Timers,
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._api = api
+        self._kind = kind
+        self._sink = sink
+        self._timers = timers
+        self._log = log
+        self._rng = rng
+        self._version: str | None = None
+        self._answered_s: float | None = None
+        self._lost = False
+        self._failures = 0
+        self._task: asyncio.Task | None = None
+
+    @property
+    def listed(self) -> bool:
+        """Whether the whole kind was read at least once."""
+        return self._answered_s is not None
+
+    @property
+    def age_s(self) -> float:
+        """Time since the object API last answered, in seconds."""
+        if self._answered_s is None:
+            return float("inf")
+        return self._timers.now() - self._answered_s
+
+    def start(self) -> None:
+        """Starts to follow the kind."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops to follow the kind."""
+        await cancel_tasks(self._task)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except WatchGapError:
+                self._log.event("store.gap", kind=self._kind)
+                self._version = None
+            except ObjectApiError as error:
+                await self._wait_after(error)
+
+    async def _step(self) -> None:
+        if self._version is None:
+            objects, version = await self._api.list(self._kind)
+            self._answered()
+            self._sink.replace_all(objects)
+            self._version = version
+            return
+        batch = await self._api.poll(self._kind, self._version, WAIT_S)
+        self._answered()
+        for event in batch.events:
+            self._sink.apply(event)
+        self._version = batch.version
+
+    def _answered(self) -> None:
+        self._answered_s = self._timers.now()
+        self._failures = 0
+        if self._lost:
+            self._lost = False
+            self._log.event("store.regained", kind=self._kind)
+            self._sink.regain()
+
+    async def _wait_after(self, error: ObjectApiError) -> None:
+        if not self._lost:
+            self._lost = True
+            self._log.event(
+                "store.lost",
+                kind=self._kind,
+                reason=str(error),
+                version=self._version,
+            )
+            self._sink.lose()
+        delay_s = min(LONGEST_DELAY_S, FIRST_DELAY_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 8)
+        await self._timers.sleep(delay_s * (0.5 + self._rng.random()))
