Decode node reports, and order reclaimable endpoints

The report of a node shared type id 40 with another message, so every report was dropped: allotments were held to a seventh and usage counted one node of seven. The generator now refuses a doubled id.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -41,6 +41,7 @@
     "PrefixUse",
     "RequestQuery",
     "RequestReply",
+    "ServiceDemand",
     "Veto",
     "WindowUsage",
 ]
@@ -755,6 +756,27 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class ServiceDemand:
+    """What one node has sent to one service since its start.
+
+    Attributes:
+      service: Name of the service.
+      requests: Requests sent.
+      read_tokens: Prompt tokens that endpoints had to read for them.
+    """
+
+    service: str
+    requests: int
+    read_tokens: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "service": options.Text(),
+        "requests": options.Integer(minimum=0),
+        "read_tokens": options.Integer(minimum=0),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """Figures that a node tells the others several times a second.
@@ -770,6 +792,7 @@
       work: Work at endpoints.
       allotments: Use of allotments.
       usage: Usage of the newest windows.
+      demand: Demand by service.
       prefixes: Prompt parts read since the report before.
     """
 
@@ -782,9 +805,10 @@
     work: tuple[EndpointWork, ...]
     allotments: tuple[AllotmentUse, ...]
     usage: tuple[WindowUsage, ...]
+    demand: tuple[ServiceDemand, ...]
     prefixes: tuple[PrefixUse, ...]
 
-    TYPE_ID: ClassVar[int] = 40
+    TYPE_ID: ClassVar[int] = 50
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "node": options.Text(),
         "incarnation": options.Integer(minimum=0),
@@ -795,5 +819,6 @@
         "work": options.ListOf(options.Section(EndpointWork)),
         "allotments": options.ListOf(options.Section(AllotmentUse)),
         "usage": options.ListOf(options.Section(WindowUsage)),
+        "demand": options.ListOf(options.Section(ServiceDemand)),
         "prefixes": options.ListOf(options.Section(PrefixUse)),
     }
--- a/packages/guavalane-core/tests/test_messages.py
+++ b/packages/guavalane-core/tests/test_messages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from guavalane_core import messages
+from guavalane_core.messages import generated
 from guavalane_core.exceptions import MessageError, ProtocolVersionError
 
 PING = messages.Ping(
@@ -50,3 +51,16 @@
     def test_broken_frames(self, frame):
         with pytest.raises(MessageError):
             messages.decode(frame)
+
+
+class TestTypeIds:
+    """Guards against two messages that are decoded as each other."""
+
+    def test_each_message_has_its_own(self):
+        messages = [
+            cls
+            for name in generated.__all__
+            if hasattr(cls := getattr(generated, name), "TYPE_ID")
+        ]
+        ids = {cls.TYPE_ID for cls in messages}
+        assert len(ids) == len(messages)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
@@ -261,9 +261,9 @@
         progress.tried.add(endpoint.endpoint_id)
         now_s = self._now()
         view.ejector.on_chosen(endpoint.endpoint_id, now_s)
-        work = view.work.start(
-            endpoint.endpoint_id, self._prefill_tokens(endpoint, now_s)
-        )
+        prefill_tokens = self._prefill_tokens(endpoint, now_s)
+        work = view.work.start(endpoint.endpoint_id, prefill_tokens)
+        view.add_sent(self._admitted.service.name, prefill_tokens)
         if progress.arrivals:
             view.retries(self._admitted.service.name).spend(now_s)
         began_s = view.clock.now()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
+from guavalane_core.fleet.replicas import (
+    ReplicaNeed,
+    ReplicaOrder,
+    ReplicaPlanner,
+)
+from guavalane_core.forwarding import Replicas, Service
 from guavalane_core.leases import LeaseHolder
+from guavalane_entry.gateway.cloud import NoneAvailableError
 from guavalane_entry.gateway.duties import DUTIES, DutyContext
 
 
@@ -15,7 +22,86 @@
     """
 
     def __init__(self, context: DutyContext) -> None:
-        self._context = context
+        self._view = context.view
+        self._cloud = context.cloud
+        self._log = context.log
+        self._planners: dict[str, tuple[Replicas, ReplicaPlanner]] = {}
 
     async def step(self, lease: LeaseHolder) -> None:
         """Orders what is missing."""
+        table = self._view.table
+        if table is None:
+            return
+        for service in table.configuration.services.values():
+            if service.replicas is not None and service.engine is not None:
+                await self._step_service(lease, service)
+
+    async def _step_service(self, lease: LeaseHolder, service: Service) -> None:
+        view = self._view
+        now_s = view.timers.now()
+        endpoints = view.directory.all_of(service.name)
+        need = self._need(service, now_s)
+        planner = self._planner(service, [e.zone for e in endpoints])
+        for order in planner.plan(endpoints, need, now_s):
+            await self._order(lease, service, planner, order, need)
+
+    def _need(self, service: Service, now_s: float) -> ReplicaNeed:
+        view = self._view
+        rates = view.demand(service.name).update(now_s)
+        concurrent = sum(
+            view.work.total(endpoint.endpoint_id, now_s).requests
+            for endpoint in view.directory.all_of(service.name)
+        )
+        return ReplicaNeed(
+            read_tokens_per_s=rates.read_tokens_per_s,
+            concurrent=concurrent,
+            endpoint_read_tokens_per_s=view.rates(
+                service.name
+            ).prefill_tokens_per_s,
+            endpoint_slots=service.engine.slots,
+        )
+
+    def _planner(self, service: Service, zones: list[str]) -> ReplicaPlanner:
+        known = self._planners.get(service.name)
+        if known is not None and known[0] == service.replicas:
+            return known[1]
+        priced = service.replicas.zone_prices
+        planner = ReplicaPlanner(service.replicas, sorted({*priced, *zones}))
+        self._planners[service.name] = (service.replicas, planner)
+        return planner
+
+    async def _order(
+        self,
+        lease: LeaseHolder,
+        service: Service,
+        planner: ReplicaPlanner,
+        order: ReplicaOrder,
+        need: ReplicaNeed,
+    ) -> None:
+        number = lease.require()
+        now_s = self._view.timers.now()
+        outcome = "accepted"
+        try:
+            await self._cloud.order_replicas(
+                number,
+                service.name,
+                order.zone,
+                order.count,
+                reclaimable=order.reclaimable,
+            )
+            planner.on_accepted(order, now_s)
+        except NoneAvailableError:
+            outcome = "none_available"
+            planner.on_refused(order, now_s)
+        self._log.event(
+            "replicas.ordered",
+            service=service.name,
+            zone=order.zone,
+            count=order.count,
+            reclaimable=order.reclaimable,
+            outcome=outcome,
+            needed=need.endpoints(),
+            read_tokens_per_s=int(need.read_tokens_per_s),
+            concurrent=int(need.concurrent),
+            number=number,
+        )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -9,11 +9,13 @@
 import asyncio
 
 from guavalane_core.exceptions import MessageError
+from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
     AllotmentUse,
     EndpointWork,
     NodeReport,
     PrefixUse,
+    ServiceDemand,
     WindowUsage,
     decode,
     encode,
@@ -151,6 +153,14 @@
                 )
                 for count in view.usage.own()
             ),
+            demand=tuple(
+                ServiceDemand(
+                    service=service,
+                    requests=totals.requests,
+                    read_tokens=totals.read_tokens,
+                )
+                for service, totals in view.sent.items()
+            ),
             prefixes=tuple(
                 PrefixUse(endpoint=endpoint_id, part=part_id)
                 for endpoint_id, part_id in view.prefixes.take_recent()
@@ -197,6 +207,12 @@
                 for u in report.usage
             ],
         )
+        for sent in report.demand:
+            view.demand(sent.service).report(
+                node,
+                report.incarnation,
+                DemandTotals(sent.requests, sent.read_tokens),
+            )
         for use in report.prefixes:
             view.prefixes.record_part(use.endpoint, use.part, now_s)
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 
 from guavalane_core.allotments import AllotmentLedger
+from guavalane_core.fleet.replica_demand import DemandTotals, ReplicaDemand
 from guavalane_core.forwarding import (
     EndpointDirectory,
     ForwardingConfiguration,
@@ -44,12 +46,19 @@
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
+        self._demands: dict[str, ReplicaDemand] = {}
+        self._sent: dict[str, DemandTotals] = {}
 
     @property
     def table(self) -> RouteTable | None:
         """Configuration in force; None before the first."""
         return self._table
 
+    @property
+    def sent(self) -> Mapping[str, DemandTotals]:
+        """What this process has sent, by service."""
+        return self._sent
+
     @property
     def node_count(self) -> int:
         """Nodes that are known, this one included."""
@@ -82,3 +91,20 @@
     def rates(self, service: str) -> EngineRates:
         """Returns the speeds of a service's engines."""
         return self._rates.setdefault(service, EngineRates())
+
+    def demand(self, service: str) -> ReplicaDemand:
+        """Returns the demand of all nodes for a service."""
+        demand = self._demands.get(service)
+        if demand is None:
+            demand = ReplicaDemand(self.timers.now())
+            self._demands[service] = demand
+        return demand
+
+    def add_sent(self, service: str, read_tokens: int) -> None:
+        """Counts a request that this process sends to a service."""
+        totals = self._sent.get(service, DemandTotals())
+        totals = DemandTotals(
+            totals.requests + 1, totals.read_tokens + read_tokens
+        )
+        self._sent[service] = totals
+        self.demand(service).report(self.settings.name, 0, totals)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -224,10 +224,29 @@
     return "\n".join(lines) + "\n"
 
 
+def check_type_ids(classes: list[dict]) -> None:
+    """Checks that no two messages share a type id.
+
+    Raises:
+      ValueError: Two do; the receiver would decode one as the other.
+    """
+    names: dict[int, str] = {}
+    for cls in classes:
+        type_id = cls["type_id"]
+        if type_id is None:
+            continue
+        if type_id in names:
+            raise ValueError(
+                f"{names[type_id]} and {cls['name']} share type id {type_id}"
+            )
+        names[type_id] = cls["name"]
+
+
 def render(name: str) -> str:
     """Returns the formatted module for one schema file."""
     schema = json.loads((ROOT / "schema" / f"{name}.json").read_text())
     classes = [class_of(key, node) for key, node in schema["$defs"].items()]
+    check_type_ids(classes)
     source = TEMPLATE.render(title=schema["title"], name=name, classes=classes)
     source = re.sub(r"\n{4,}", "\n\n\n", source)
     ruff = pathlib.Path(sys.executable).parent / "ruff"
