--- a/packages/guavalane-core/tests/test_messages.py
+++ b/packages/guavalane-core/tests/test_messages.py
@@ -6,8 +6,8 @@
 import pytest
 
 from guavalane_core import messages
-from guavalane_core.messages import generated
 from guavalane_core.exceptions import MessageError, ProtocolVersionError
+from guavalane_core.messages import generated
 
 PING = messages.Ping(
     sequence=7,
