Test forwarded requests, allotments, usage, placement and orders

Also: half of the operators' tolerance of allotments is used, as nodes learn of each other's use with a delay; a regular endpoint that is booting counts as ordered, since the planner took such orders back half a second later.

--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -19,9 +19,18 @@
 
 
 class AllotmentLedger:
-    """Draws from allotments and exchanges totals with other nodes."""
+    """Draws from allotments and exchanges totals with other nodes.
 
-    def __init__(self) -> None:
+    Args:
+      over_ratio: Part of each rate that is admitted besides.
+      over_burst: Units of each allotment that are admitted besides.
+    """
+
+    def __init__(
+        self, over_ratio: float = 0.0, over_burst: float = 0.0
+    ) -> None:
+        self._over_ratio = over_ratio
+        self._over_burst = over_burst
         self._allotments: dict[str, SharedAllotment] = {}
         self._drawn: dict[str, int] = {}
         # Totals of other nodes by name and incarnation.
@@ -41,7 +50,10 @@
             if name not in limited:
                 del self._allotments[name]
         for name, organisation in limited.items():
-            limits = (organisation.rate_per_s, organisation.burst)
+            limits = (
+                organisation.rate_per_s * (1 + self._over_ratio),
+                organisation.burst + self._over_burst,
+            )
             if name in self._allotments:
                 self._allotments[name].set_limits(*limits, now_s)
             else:
--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -161,7 +161,7 @@
             return {(zone, False): n for zone, n in counts.items()}
         reclaimable = self._spread_reclaimable(present, needed)
         available = sum(
-            max(present.get((zone, True), 0), self._booting(zone, now_s))
+            max(present.get((zone, True), 0), self._booting(zone, True, now_s))
             for zone in self._zones
         )
         regular = self._regular(present, reclaimable, needed, available, now_s)
@@ -201,9 +201,9 @@
                 counts[zone] = max(counts[zone], self._replicas.minimum)
         return counts
 
-    def _booting(self, zone: str, now_s: float) -> int:
-        """Returns reclaimable endpoints that are ordered and may yet come."""
-        placed = self._of(zone, True)
+    def _booting(self, zone: str, reclaimable: bool, now_s: float) -> int:
+        """Returns endpoints that were ordered lately and may yet come."""
+        placed = self._of(zone, reclaimable)
         latest_s = placed.ordered_s + self._replicas.boot_s + BOOT_SLACK_S
         if placed.count is None or now_s > latest_s:
             return 0
@@ -217,7 +217,13 @@
         available: int,
         now_s: float,
     ) -> dict[str, int]:
-        have = {zone: present.get((zone, False), 0) for zone in self._zones}
+        have = {
+            zone: max(
+                present.get((zone, False), 0),
+                self._booting(zone, False, now_s),
+            )
+            for zone in self._zones
+        }
         ready = sum(present.get((zone, True), 0) for zone in self._zones)
         shortage = max(0, needed - available)
         if ready < needed or shortage:
--- /dev/null
+++ b/packages/guavalane-core/tests/forwarding/test_directory.py
@@ -0,0 +1,55 @@
+"""Tests of the endpoints that a node knows."""
+
+from __future__ import annotations
+
+from guavalane_core.forwarding import EndpointDirectory
+from guavalane_core.forwarding.directory import RETURN_GRACE_S
+from guavalane_standins.forwarding_samples import make_endpoint
+
+
+def names(directory):
+    """Returns the usable endpoints of the sample service."""
+    return sorted(e.endpoint_id for e in directory.usable("app"))
+
+
+class TestEndpointDirectory:
+    """Guards against work for endpoints that left, and lost fleets."""
+
+    def test_a_leaving_endpoint_gets_no_new_work(self):
+        directory = EndpointDirectory()
+        directory.put(make_endpoint("e-1"))
+        directory.put(make_endpoint("e-1", leaving=True))
+        assert names(directory) == []
+        assert len(directory.all_of("app")) == 1
+
+    def test_a_removed_entry_is_gone_at_once_in_calm_times(self):
+        directory = EndpointDirectory()
+        directory.put(make_endpoint("e-1"))
+        directory.remove("e-1", 100.0)
+        assert names(directory) == []
+
+    def test_entries_that_expired_in_an_outage_get_time_to_return(self):
+        directory = EndpointDirectory()
+        directory.replace_all([make_endpoint("e-1"), make_endpoint("e-2")], 0.0)
+        directory.lose_discovery()
+        directory.regain_discovery(50.0)
+        directory.replace_all([], 50.1)
+        assert names(directory) == ["e-1", "e-2"]
+        directory.put(make_endpoint("e-2"))
+        assert directory.expire(50.0 + RETURN_GRACE_S) == ["e-1"]
+        assert names(directory) == ["e-2"]
+
+    def test_a_leaving_endpoint_gets_no_grace(self):
+        directory = EndpointDirectory()
+        directory.put(make_endpoint("e-1", leaving=True))
+        directory.lose_discovery()
+        directory.regain_discovery(50.0)
+        directory.remove("e-1", 50.1)
+        assert directory.get("e-1") is None
+
+    def test_an_endpoint_may_change_its_service(self):
+        directory = EndpointDirectory()
+        directory.put(make_endpoint("e-1"))
+        directory.put(make_endpoint("e-1", service="other"))
+        assert names(directory) == []
+        assert len(directory.usable("other")) == 1
--- /dev/null
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -0,0 +1,124 @@
+"""Tests of allotments that nodes share."""
+
+from __future__ import annotations
+
+import random
+
+from guavalane_core.allotments import AllotmentLedger, SharedAllotment
+from guavalane_core.allotments.ledger import units_of
+from guavalane_core.forwarding import Organisation
+from guavalane_standins.forwarding_samples import make_prompt
+
+RATE = 36_000.0
+BURST = 36_000.0
+NODES = 7
+REPORT_S = 0.25
+WINDOW_S = 8.0
+
+
+class TestSharedAllotment:
+    """Guards against a bucket that leaks or refuses what is left."""
+
+    def test_a_drawn_bucket_tells_when_it_is_full_enough(self):
+        allotment = SharedAllotment(100.0, 50.0, 0.0)
+        assert allotment.try_draw(50, 0.0) == 0
+        assert allotment.try_draw(10, 0.0) == 0.1
+        assert allotment.try_draw(10, 0.1) == 0
+
+    def test_a_request_larger_than_the_bucket_passes_a_full_one(self):
+        allotment = SharedAllotment(100.0, 50.0, 0.0)
+        assert allotment.try_draw(120, 0.0) == 0
+        assert allotment.try_draw(10, 0.5) > 0
+
+    def test_a_lowered_limit_binds_at_once(self):
+        allotment = SharedAllotment(100.0, 500.0, 0.0)
+        allotment.set_limits(10.0, 20.0, 0.0)
+        assert allotment.try_draw(20, 0.0) == 0
+        assert allotment.try_draw(20, 1.0) == 1.0
+
+
+class TestAllotmentLedger:
+    """Guards against use beyond the allotment over all nodes."""
+
+    def organisation(self):
+        """Returns an organisation that counts tokens."""
+        return Organisation(
+            "org",
+            frozenset({"k"}),
+            rate_per_s=RATE,
+            burst=BURST,
+            counts_tokens=True,
+            plain_tokens=200,
+        )
+
+    def play(self, delay_s):
+        """Returns the units that nodes admit per time under overload."""
+        rng = random.Random(3)
+        ledgers = [AllotmentLedger() for _ in range(NODES)]
+        for ledger in ledgers:
+            ledger.set_organisations([self.organisation()], 0.0)
+        admitted = []
+        reports = []
+        for step in range(4000):
+            now_s = step * 0.01
+            for _ in range(3):
+                ledger = rng.choice(ledgers)
+                units = rng.choice([500, 2000, 12_000])
+                if ledger.try_draw("org", units, now_s) == 0:
+                    admitted.append((now_s, units))
+            if step % int(REPORT_S / 0.01) == 0:
+                reports.append(
+                    (
+                        now_s + delay_s,
+                        [dict(ledger.drawn) for ledger in ledgers],
+                    )
+                )
+            while reports and reports[0][0] <= now_s:
+                _, totals = reports.pop(0)
+                for i, ledger in enumerate(ledgers):
+                    for j, drawn in enumerate(totals):
+                        if i != j:
+                            ledger.report(f"n{j}", 1, drawn, now_s)
+        return admitted
+
+    def test_nodes_together_keep_the_allotment(self):
+        admitted = self.play(delay_s=0.1)
+        limit = RATE * WINDOW_S + BURST
+        # The operators' tolerance: a tenth of the allotment and 140,000.
+        bound = 1.1 * limit + 140_000
+        for start_s in range(0, 32):
+            end_s = start_s + WINDOW_S
+            units = sum(u for t, u in admitted if start_s <= t < end_s)
+            assert units <= bound
+            assert units >= 0.8 * RATE * WINDOW_S
+
+    def test_a_lost_or_doubled_report_changes_nothing(self):
+        ledger = AllotmentLedger()
+        ledger.set_organisations([self.organisation()], 0.0)
+        ledger.report("n1", 1, {"org": 10_000}, 0.0)
+        ledger.report("n1", 1, {"org": 30_000}, 0.0)
+        ledger.report("n1", 1, {"org": 30_000}, 0.0)
+        assert ledger.try_draw("org", 6_000, 0.0) == 0
+        assert ledger.try_draw("org", 1_000, 0.0) > 0
+
+    def test_a_restarted_node_starts_from_zero(self):
+        ledger = AllotmentLedger()
+        ledger.set_organisations([self.organisation()], 0.0)
+        ledger.report("n1", 1, {"org": 20_000}, 0.0)
+        ledger.report("n1", 2, {"org": 1_000}, 0.0)
+        assert ledger.try_draw("org", 15_000, 0.0) == 0
+        assert ledger.try_draw("org", 1_000, 0.0) > 0
+
+    def test_what_did_not_run_is_given_back(self):
+        ledger = AllotmentLedger()
+        ledger.set_organisations([self.organisation()], 0.0)
+        assert ledger.try_draw("org", 36_000, 0.0) == 0
+        ledger.give_back("org", 36_000, 0.0)
+        assert ledger.drawn["org"] == 0
+        assert ledger.try_draw("org", 36_000, 0.0) == 0
+
+    def test_units(self):
+        organisation = self.organisation()
+        assert units_of(organisation, make_prompt(1000)) == 1100
+        assert units_of(organisation, None) == 200
+        assert units_of(Organisation("o", frozenset()), None) == 1
--- a/packages/guavalane-core/tests/test_leases.py
+++ b/packages/guavalane-core/tests/test_leases.py
@@ -317,3 +317,24 @@
         assert choose_candidates(members[::-1], "moves") == chosen
         left = [m for m in members if m.name != chosen[0]]
         assert choose_candidates(left, "moves")[:2] == chosen[1:]
+
+
+class TestTakeoverDelay:
+    """Guards against holders that act in turn within a short time."""
+
+    async def test_a_released_lease_stays_free_for_the_delay(self):
+        timers = ManualTimers()
+        api = MemoryObjectApi()
+        first, second = (
+            LeaseHolder(api, timers, "l", name, 1, 6.0, takeover_delay_s=3.0)
+            for name in ("a", "b")
+        )
+        assert await first.acquire()
+        number = first.fencing_number
+        await first.release()
+        assert not await second.acquire()
+        timers.advance(2.9)
+        assert not await second.acquire()
+        timers.advance(0.2)
+        assert await second.acquire()
+        assert second.fencing_number == number + 1
--- /dev/null
+++ b/packages/guavalane-core/tests/test_replicas.py
@@ -0,0 +1,201 @@
+"""Tests of the orders of a service's endpoints."""
+
+from __future__ import annotations
+
+import itertools
+
+from guavalane_core.fleet.replica_demand import DemandTotals, ReplicaDemand
+from guavalane_core.fleet.replicas import (
+    REFUSED_RETRY_S,
+    ReplicaNeed,
+    ReplicaPlanner,
+)
+from guavalane_core.forwarding import Replicas
+from guavalane_standins.forwarding_samples import make_endpoint
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+BOUNDS = Replicas(
+    minimum=1,
+    maximum=3,
+    boot_s=4.0,
+    reclaimable_price=0.2,
+    zone_prices={"zone-a": 1.0, "zone-b": 0.8, "zone-c": 1.2, "zone-d": 0.9},
+)
+RATE = 100_000.0
+
+
+class FleetModel:
+    """Platform that starts ordered endpoints after the boot time.
+
+    Args:
+      planner: Planner whose orders are carried out.
+    """
+
+    def __init__(self, planner: ReplicaPlanner) -> None:
+        self.planner = planner
+        self.now_s = 0.0
+        self.endpoints = {}
+        self.booting = []
+        self.dry_until_s = -1.0
+        self.orders = []
+        self._names = itertools.count()
+
+    def add(self, zone, *, reclaimable):
+        """Adds an endpoint that serves."""
+        name = f"e-{next(self._names)}"
+        self.endpoints[name] = make_endpoint(
+            name, zone=zone, reclaimable=reclaimable
+        )
+
+    def count(self, *, reclaimable):
+        """Returns the endpoints of one kind."""
+        return sum(
+            e.reclaimable == reclaimable for e in self.endpoints.values()
+        )
+
+    def reclaim(self, zone, dry_s):
+        """Takes the reclaimable endpoints of a zone away."""
+        for name, endpoint in list(self.endpoints.items()):
+            if endpoint.zone == zone and endpoint.reclaimable:
+                del self.endpoints[name]
+        self.dry_until_s = self.now_s + dry_s
+
+    def run(self, seconds, read_tokens_per_s):
+        """Plays time; returns the fewest endpoints on the way."""
+        fewest = len(self.endpoints)
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self._step(read_tokens_per_s)
+            fewest = min(fewest, len(self.endpoints))
+            self.now_s += 0.5
+        return fewest
+
+    def _step(self, read_tokens_per_s):
+        for ready_s, zone, kind in list(self.booting):
+            if ready_s <= self.now_s:
+                self.booting.remove((ready_s, zone, kind))
+                self.add(zone, reclaimable=kind)
+        need = ReplicaNeed(read_tokens_per_s, 0.0, RATE, 64)
+        plan = self.planner.plan(
+            list(self.endpoints.values()), need, self.now_s
+        )
+        for order in plan:
+            self._carry_out(order)
+
+    def _carry_out(self, order):
+        self.orders.append(order)
+        if order.reclaimable and order.count and self.now_s < self.dry_until_s:
+            self.planner.on_refused(order, self.now_s)
+            return
+        self.planner.on_accepted(order, self.now_s)
+        names = [
+            name
+            for name, e in self.endpoints.items()
+            if e.zone == order.zone and e.reclaimable == order.reclaimable
+        ]
+        coming = [
+            b for b in self.booting if b[1:] == (order.zone, order.reclaimable)
+        ]
+        for name in names[order.count :]:
+            del self.endpoints[name]
+        for _ in range(order.count - len(names) - len(coming)):
+            ready_s = self.now_s + BOUNDS.boot_s
+            self.booting.append((ready_s, order.zone, order.reclaimable))
+
+
+class TestReplicaPlanner:
+    """Guards against a fleet that is too small, or dearer than needed."""
+
+    def start(self):
+        """Returns a fleet of regular endpoints with a planner."""
+        model = FleetModel(ReplicaPlanner(BOUNDS, ZONES))
+        for zone in (*ZONES, "zone-a", "zone-b"):
+            model.add(zone, reclaimable=False)
+        return model
+
+    def test_reclaimable_endpoints_replace_regular_ones(self):
+        model = self.start()
+        fewest = model.run(12, 40_000)
+        assert fewest >= 4
+        assert model.count(reclaimable=False) == 0
+        assert model.count(reclaimable=True) == 4
+
+    def test_the_loss_of_a_zone_leaves_enough(self):
+        model = self.start()
+        model.run(20, 100_000)
+        model.reclaim("zone-b", dry_s=12)
+        # Three endpoints carry this load.
+        assert model.run(20, 100_000) >= 3
+
+    def test_regular_endpoints_fill_a_gap(self):
+        model = self.start()
+        model.run(20, 100_000)
+        for zone in ("zone-a", "zone-b", "zone-c"):
+            model.reclaim(zone, dry_s=12)
+        model.run(BOUNDS.boot_s + 1.5, 100_000)
+        assert len(model.endpoints) >= 3
+        model.run(20, 100_000)
+        assert model.count(reclaimable=False) == 0
+
+    def test_an_order_that_is_under_way_is_not_taken_back(self):
+        model = self.start()
+        model.run(20, 60_000)
+        model.reclaim("zone-a", dry_s=30)
+        model.reclaim("zone-b", dry_s=30)
+        model.orders.clear()
+        for i in range(16):
+            # The load swings around the border between two needs.
+            model.run(0.5, 130_000 if i % 2 else 60_000)
+        regular = [o for o in model.orders if not o.reclaimable]
+        assert all(order.count > 0 for order in regular)
+
+    def test_refused_orders_are_not_repeated_at_once(self):
+        model = self.start()
+        model.run(20, 40_000)
+        model.reclaim("zone-a", dry_s=60)
+        model.orders.clear()
+        model.run(30, 40_000)
+        refused = [o for o in model.orders if o.zone == "zone-a"]
+        assert len(refused) <= 30 / REFUSED_RETRY_S + 1
+
+    def test_bounds_hold_for_both_kinds_together(self):
+        model = self.start()
+        model.run(30, 5_000_000)
+        by_zone = {zone: 0 for zone in ZONES}
+        for endpoint in model.endpoints.values():
+            by_zone[endpoint.zone] += 1
+        assert max(by_zone.values()) <= BOUNDS.maximum
+
+    def test_without_reclaimable_endpoints_regular_ones_are_ordered(self):
+        bounds = Replicas(1, 3, 4.0, None, BOUNDS.zone_prices)
+        planner = ReplicaPlanner(bounds, ZONES)
+        need = ReplicaNeed(200_000, 0.0, RATE, 64)
+        orders = planner.plan([], need, 0.0)
+        assert sum(order.count for order in orders) == need.endpoints()
+        assert not any(order.reclaimable for order in orders)
+
+
+class TestReplicaDemand:
+    """Guards against demand that one node alone, or a restart, distorts."""
+
+    def test_rates_of_all_nodes_add_up(self):
+        demand = ReplicaDemand(0.0)
+        for step in range(1, 200):
+            for node in ("n1", "n2"):
+                demand.report(node, 1, DemandTotals(step, step * 1000))
+            rates = demand.update(step * 0.5)
+        assert abs(rates.requests_per_s - 4) < 0.2
+        assert abs(rates.read_tokens_per_s - 4000) < 200
+
+    def test_the_first_totals_of_a_process_are_no_rate(self):
+        demand = ReplicaDemand(0.0)
+        demand.report("n1", 1, DemandTotals(1_000_000, 1_000_000_000))
+        assert demand.update(0.5).requests_per_s == 0
+
+    def test_a_burst_is_followed_fast_and_forgotten_slowly(self):
+        demand = ReplicaDemand(0.0)
+        demand.report("n1", 1, DemandTotals(0, 0))
+        demand.report("n1", 1, DemandTotals(0, 200_000))
+        high = demand.update(2.0).read_tokens_per_s
+        assert high > 60_000
+        assert demand.update(6.0).read_tokens_per_s > 8_000
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -48,6 +48,22 @@
     window_s: float = 10.0
 
 
+@attrs.frozen(kw_only=True)
+class AllotmentTolerance:
+    """What operators accept beyond an allotment, over all nodes.
+
+    Nodes learn of each other's use with a delay. In doubt they admit a
+    request, within a part of this tolerance.
+
+    Attributes:
+      ratio: Part of the allotment.
+      slack: Units besides, per window.
+    """
+
+    ratio: float = 0.0
+    slack: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """Settings of one process.
@@ -61,6 +77,7 @@
       metrics: Address for metrics.
       readiness_path: Path that answers 200 while the node is ready.
       retries: Bound on repeats.
+      allotments: Tolerance of allotments.
       usage_window_s: Length of a window of usage in seconds.
       usage_due_s: Time after the end of a window at which its usage is due.
       lease_s: Duration of the lease on duties in seconds.
@@ -75,6 +92,7 @@
     metrics: Address
     readiness_path: str = "/readyz"
     retries: RetryLimits = RetryLimits()
+    allotments: AllotmentTolerance = AllotmentTolerance()
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
     lease_s: float = 3.0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -19,6 +19,10 @@
 from guavalane_core.usage import TrueClock, UsageCounts
 from guavalane_entry.gateway.settings import GatewaySettings
 
+# Part of the operators' tolerance of allotments that is used on purpose. The
+# rest covers the use of other nodes that is not reported yet.
+USED_TOLERANCE = 0.5
+
 
 class NodeView:
     """State that the tasks of one node share.
@@ -39,7 +43,10 @@
         self.work = WorkTable()
         self.prefixes = PrefixDirectory()
         self.ejector = OutlierEjector()
-        self.allotments = AllotmentLedger()
+        tolerance = settings.allotments
+        self.allotments = AllotmentLedger(
+            tolerance.ratio * USED_TOLERANCE, tolerance.slack * USED_TOLERANCE
+        )
         self.clock = TrueClock(timers)
         self.usage = UsageCounts(settings.usage_window_s)
         self.peers: dict[str, str] = {}
--- /dev/null
+++ b/packages/guavalane-standins/src/guavalane_standins/forwarding_samples.py
@@ -0,0 +1,79 @@
+"""Sample values for tests of forwarded requests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from guavalane_core.forwarding import (
+    CallerLimits,
+    Delivery,
+    Endpoint,
+    Engine,
+    ForwardingConfiguration,
+    Organisation,
+    Prompt,
+    PromptPart,
+    Route,
+    Service,
+    ServiceShare,
+)
+
+
+def make_route(**changes: Any) -> Route:
+    """Returns a route of at-most-once calls, with changes."""
+    values = {
+        "name": "r-1",
+        "host": "app.example",
+        "path_prefix": "/a/",
+        "delivery": Delivery.AT_MOST_ONCE,
+        "timeout_s": 1.0,
+        "latency_objective_s": 0.4,
+        "max_gap_s": 0.5,
+        "priority": 1,
+        "shares": (ServiceShare("app", 1.0),),
+    }
+    return Route(**{**values, **changes})
+
+
+def make_endpoint(name: str = "e-1", **changes: Any) -> Endpoint:
+    """Returns an endpoint of the service `app`, with changes."""
+    values = {
+        "endpoint_id": name,
+        "service": "app",
+        "address": "127.0.0.1:1",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 4,
+    }
+    return Endpoint(**{**values, **changes})
+
+
+def make_prompt(tokens: int = 1000, thing: str = "thing-1") -> Prompt:
+    """Returns a prompt whose first two parts other requests share."""
+    return Prompt(
+        model="m",
+        input_tokens=tokens,
+        max_output_tokens=100,
+        parts=(
+            PromptPart("common", tokens // 4),
+            PromptPart(thing, tokens // 2),
+            PromptPart(f"{thing}-own", tokens - tokens // 4 - tokens // 2),
+        ),
+    )
+
+
+def make_configuration(
+    *routes: Route,
+    organisations: tuple[Organisation, ...] | None = None,
+    version: int = 1,
+    max_connections: int = 100,
+    engine: Engine | None = None,
+) -> ForwardingConfiguration:
+    """Returns a configuration with the service `app`."""
+    return ForwardingConfiguration(
+        version=version,
+        routes=routes,
+        services={"app": Service("app", max_connections, engine)},
+        organisations=organisations,
+        limits=CallerLimits(),
+    )
--- /dev/null
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -0,0 +1,125 @@
+"""The forwarding part of one node in the process of a test."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import aiohttp
+
+from guavalane_core.forwarding import CallerLimits, ForwardingConfiguration
+from guavalane_core.timers import LoopTimers
+from guavalane_entry.gateway.channels import EndpointChannels
+from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.forwarder import Forwarder
+from guavalane_entry.gateway.listener import CallerListener
+from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.settings import Address, GatewaySettings
+from guavalane_entry.gateway.view import NodeView
+from guavalane_entry.metrics import Metrics
+from guavalane_standins.forwarding_samples import make_endpoint
+from guavalane_standins.processes import free_port
+from guavalane_standins.scripted_endpoint import Exchange, ScriptedEndpoint
+
+NAMES = HeaderNames()
+HOST = "app.example"
+
+
+def echo_headers(exchange: Exchange) -> dict[str, str]:
+    """Returns the headers that make an answer one to its request."""
+    return {
+        NAMES.request_id: exchange.request.header(NAMES.request_id) or "",
+        NAMES.proof: "proof-1",
+    }
+
+
+class GatewayRig:
+    """Listener, forwarder and scripted endpoints on the loopback address.
+
+    Args:
+      configuration: Configuration in force; None for a node without one.
+    """
+
+    def __init__(self, configuration: ForwardingConfiguration | None) -> None:
+        listen = Address("127.0.0.1", free_port())
+        settings = GatewaySettings(
+            name="n1",
+            zone="zone-a",
+            callers=listen,
+            readiness=listen,
+            peers=listen,
+            metrics=listen,
+        )
+        timers = LoopTimers()
+        self.view = NodeView(settings, timers, random.Random(1))
+        if configuration is not None:
+            self.view.offer(configuration)
+        self.metrics = Metrics()
+        self.log = DecisionLog("n1", timers.wall)
+        self.channels = EndpointChannels()
+        codec = RequestCodec(NAMES)
+        self.forwarder = Forwarder(
+            self.view, self.channels, codec, self.log, self.metrics
+        )
+        self.listener = CallerListener(
+            listen, codec, timers, self._limits, self.forwarder.forward
+        )
+        self.address = str(listen)
+        self._endpoints: list[ScriptedEndpoint] = []
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> GatewayRig:
+        """Starts the listener."""
+        await self.listener.start()
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stops everything."""
+        await self.session.close()
+        await self.listener.drain(1.0)
+        await self.channels.close()
+        for endpoint in self._endpoints:
+            await endpoint.stop()
+
+    async def add_endpoint(
+        self, script: Any, name: str = "e-1", **changes: Any
+    ) -> ScriptedEndpoint:
+        """Starts an endpoint and lists it."""
+        endpoint = ScriptedEndpoint(script)
+        await endpoint.start()
+        self._endpoints.append(endpoint)
+        self.view.directory.put(
+            make_endpoint(name, address=endpoint.address, **changes)
+        )
+        return endpoint
+
+    def add_dead_endpoint(self, name: str = "e-0", **changes: Any) -> None:
+        """Lists an endpoint whose port refuses connections."""
+        address = f"127.0.0.1:{free_port()}"
+        self.view.directory.put(make_endpoint(name, address=address, **changes))
+
+    def call(
+        self,
+        path: str = "/a/x",
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        request_id: str = "q-1",
+    ) -> Any:
+        """Sends a request of a caller; use it as a context manager."""
+        return self.session.request(
+            method,
+            f"http://{self.address}{path}",
+            headers={
+                "Host": HOST,
+                NAMES.request_id: request_id,
+                **(headers or {}),
+            },
+            data=body or None,
+        )
+
+    def _limits(self) -> CallerLimits:
+        table = self.view.table
+        return table.configuration.limits if table else CallerLimits()
