End a stop within its grace, list again after a cut, and see resets

- Stop: requests taken late after SIGTERM were cut and the process was killed, since idle connections stayed open and the library takes a close timeout of 0 for none.
- Configuration: a wait from an old version was held open after the store had dropped its history; a node kept an old version for seconds.
- A body without a length that ended with a reset passed as complete when it came at once, since the response had let go of its connection.
- Entries get time to return only after an outage that could let them expire.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -9,6 +9,8 @@
 # Endpoints whose entries expired during an outage of the discovery write them
 # again within this time after its return, in seconds.
 RETURN_GRACE_S = 2.0
+# Shorter outages let no entry expire, in seconds.
+LONG_OUTAGE_S = 2.0
 
 
 class EndpointDirectory:
@@ -24,7 +26,7 @@
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._lapsed: dict[str, float] = {}
         self._returned_s = -RETURN_GRACE_S
-        self._away = False
+        self._away_since_s: float | None = None
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -42,14 +44,14 @@
         """Returns all endpoints of a service, leaving ones included."""
         return list(self._by_service.get(service, {}).values())
 
-    def lose_discovery(self) -> None:
+    def lose_discovery(self, now_s: float) -> None:
         """Notes that the discovery does not answer."""
-        self._away = True
+        self._away_since_s = now_s
 
     def regain_discovery(self, now_s: float) -> None:
         """Notes that the discovery answers again."""
-        if self._away:
-            self._away = False
+        since_s, self._away_since_s = self._away_since_s, None
+        if since_s is not None and now_s - since_s >= LONG_OUTAGE_S:
             self._returned_s = now_s
 
     def replace_all(self, endpoints: Iterable[Endpoint], now_s: float) -> None:
--- a/packages/guavalane-core/tests/forwarding/test_directory.py
+++ b/packages/guavalane-core/tests/forwarding/test_directory.py
@@ -31,7 +31,7 @@
     def test_entries_that_expired_in_an_outage_get_time_to_return(self):
         directory = EndpointDirectory()
         directory.replace_all([make_endpoint("e-1"), make_endpoint("e-2")], 0.0)
-        directory.lose_discovery()
+        directory.lose_discovery(40.0)
         directory.regain_discovery(50.0)
         directory.replace_all([], 50.1)
         assert names(directory) == ["e-1", "e-2"]
@@ -42,7 +42,7 @@
     def test_a_leaving_endpoint_gets_no_grace(self):
         directory = EndpointDirectory()
         directory.put(make_endpoint("e-1", leaving=True))
-        directory.lose_discovery()
+        directory.lose_discovery(40.0)
         directory.regain_discovery(50.0)
         directory.remove("e-1", 50.1)
         assert directory.get("e-1") is None
@@ -53,3 +53,11 @@
         directory.put(make_endpoint("e-1", service="other"))
         assert names(directory) == []
         assert len(directory.usable("other")) == 1
+
+    def test_a_short_cut_lets_no_entry_expire(self):
+        directory = EndpointDirectory()
+        directory.put(make_endpoint("e-1"))
+        directory.lose_discovery(49.0)
+        directory.regain_discovery(49.5)
+        directory.remove("e-1", 49.6)
+        assert names(directory) == []
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/channels.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/channels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import contextvars
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -41,11 +42,13 @@
       status: HTTP status.
       headers: Headers in order.
       response: Answer of the HTTP library.
+      protocol: Protocol of its connection.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     response: aiohttp.ClientResponse
+    protocol: Any
 
     def header(self, name: str) -> str | None:
         """Returns a header; None if it is missing."""
@@ -57,15 +60,13 @@
         Raises:
           BrokenAnswerError: The body is incomplete.
         """
-        connection = self.response.connection
-        protocol = connection.protocol if connection is not None else None
         try:
             async for data in self.response.content.iter_any():
                 yield data
         except (aiohttp.ClientError, OSError) as error:
             raise BrokenAnswerError(repr(error)) from error
         # The library takes a reset for the end of a body without a length.
-        if protocol is not None and isinstance(protocol.exception(), OSError):
+        if isinstance(self.protocol.exception(), OSError):
             raise BrokenAnswerError("the connection was reset")
 
     async def read_whole(self) -> bytes:
@@ -82,6 +83,13 @@
         return bytes(body)
 
 
+# Protocol of the connection that the running task was last given. A response
+# does not tell it once its body has ended.
+_current_protocol: contextvars.ContextVar[Any] = contextvars.ContextVar(
+    "current_protocol", default=None
+)
+
+
 class _CleanConnector(aiohttp.TCPConnector):
     """Connector that never hands out a connection with unread bytes.
 
@@ -89,10 +97,12 @@
     idle; the library would take them for the answer to the next request.
     """
 
-    async def _get(self, key: Any, traces: Any) -> Any:
+    async def connect(self, *args: Any, **kwargs: Any) -> Any:
+        """Returns a connection; arguments are those of the library."""
         while True:
-            connection = await super()._get(key, traces)
-            if connection is None or not connection.protocol.should_close:
+            connection = await super().connect(*args, **kwargs)
+            if not connection.protocol.should_close:
+                _current_protocol.set(connection.protocol)
                 return connection
             connection.close()
 
@@ -153,6 +163,7 @@
                     for name, value in response.raw_headers
                 ),
                 response,
+                _current_protocol.get(),
             )
         finally:
             # Closes the connection unless it went back to the pool.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -28,6 +28,9 @@
 # Time to read the rest of a body after an early answer, in seconds.
 LINGERING_S = 2.0
 MAX_LINE_BYTES = 65_536
+# Time for connections to close at a stop, in seconds. The library takes 0 for
+# no limit.
+CLOSE_TIMEOUT_S = 0.1
 
 Handler = Callable[[CallerRequest, "ConnectionReply"], Awaitable[None]]
 
@@ -176,16 +179,20 @@
     async def drain(self, timeout_s: float) -> None:
         """Stops to listen and waits for the answers under way.
 
+        Idle connections are closed at once. A request on one of them then
+        crosses the close, and the caller may safely send it elsewhere.
+
         Args:
           timeout_s: Longest wait in seconds.
         """
         self._sockets.close()
+        self._server.pre_shutdown()
         try:
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
         except TimeoutError:
             log.warning("listener: {} requests left at stop", self._active)
-        await self._server.shutdown(0)
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         reply = ConnectionReply(request, self._closing)
@@ -271,7 +278,7 @@
         """Closes the listening socket and all connections."""
         if self._sockets is not None:
             self._sockets.close()
-            await self._server.shutdown(0)
+            await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         answer = self._paths.get(request.path)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -108,7 +108,7 @@
 
     def lose(self) -> None:
         """Keeps endpoints whose entries may expire meanwhile."""
-        self._view.directory.lose_discovery()
+        self._view.directory.lose_discovery(self._now())
 
     def regain(self) -> None:
         """Starts the time in which entries may come back."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -42,7 +42,10 @@
 
 
 class KindWatch:
-    """Lists a kind once and then follows its changes.
+    """Lists a kind and then follows its changes.
+
+    After a failed call it lists again: an object API that has dropped its
+    history may hold a wait from an old version open without an event.
 
     Args:
       api: Object API.
@@ -94,6 +97,12 @@
         """Stops to follow the kind."""
         await cancel_tasks(self._task)
 
+    async def refresh(self) -> None:
+        """Lists the kind again now, as the copy is known to be old."""
+        await cancel_tasks(self._task)
+        self._version = None
+        self.start()
+
     async def _run(self) -> None:
         while True:
             try:
@@ -103,6 +112,7 @@
                 self._version = None
             except ObjectApiError as error:
                 await self._wait_after(error)
+                self._version = None
 
     async def _step(self) -> None:
         if self._version is None:
