--- a/packages/guavalane-entry/src/guavalane_entry/gateway/channels.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/channels.py
@@ -50,6 +50,12 @@
     response: aiohttp.ClientResponse
     protocol: Any
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer itself tells where its body ends."""
+        headers = self.response.headers
+        return "Content-Length" in headers or "Transfer-Encoding" in headers
+
     def header(self, name: str) -> str | None:
         """Returns a header; None if it is missing."""
         return self.response.headers.get(name)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
@@ -375,7 +375,12 @@
     async def _pass_whole(self, answer: EndpointAnswer) -> None:
         body = await answer.read_whole()
         headers = self._codec.answer_headers(answer.headers)
-        await self._reply.send_whole(answer.status, headers, body)
+        if answer.framed:
+            await self._reply.send_whole(answer.status, headers, body)
+            return
+        await self._reply.begin(answer.status, headers, framed=False)
+        await self._reply.write(body)
+        await self._reply.finish()
 
     async def _pass_events(self, answer: EndpointAnswer, work: Work) -> None:
         splitter = EventSplitter()
@@ -422,7 +427,9 @@
     async def _begin_stream(self, answer: EndpointAnswer) -> None:
         if not self._reply.begun:
             headers = self._codec.answer_headers(answer.headers)
-            await self._reply.begin(answer.status, headers)
+            await self._reply.begin(
+                answer.status, headers, framed=answer.framed
+            )
 
     async def _end_without_answer(self, outcome: AttemptOutcome) -> None:
         progress = self._progress
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -35,17 +35,27 @@
 Handler = Callable[[CallerRequest, "ConnectionReply"], Awaitable[None]]
 
 
+class _UnframedResponse(web.StreamResponse):
+    """Response whose body ends with its connection."""
+
+    # The library then neither sets a length nor sends chunks.
+    _length_check = False
+
+
 class ConnectionReply:
     """Answer on the connection of one request.
 
     Args:
       request: Request of the HTTP library.
-      closing: Whether the connection closes after the answer.
+      is_closing: Function that returns whether connections end with their next
+          answer.
     """
 
-    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+    def __init__(
+        self, request: web.BaseRequest, is_closing: Callable[[], bool]
+    ) -> None:
         self._request = request
-        self._closing = closing
+        self._is_closing = is_closing
         self._response: web.StreamResponse | None = None
 
     @property
@@ -62,17 +72,25 @@
         self, status: int, headers: Sequence[tuple[str, str]], body: bytes
     ) -> None:
         """Sends a whole answer."""
-        response = self._make(status, headers)
+        response = self._make(web.StreamResponse(status=status), headers)
         response.content_length = len(body)
         await response.prepare(self._request)
         await response.write_eof(body)
 
     async def begin(
-        self, status: int, headers: Sequence[tuple[str, str]]
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        *,
+        framed: bool = True,
     ) -> None:
-        """Sends the status and headers of an answer in pieces."""
-        response = self._make(status, headers)
-        response.enable_chunked_encoding()
+        """Sends the status and headers of an answer in pieces; see `Reply`."""
+        if framed:
+            response = self._make(web.StreamResponse(status=status), headers)
+            response.enable_chunked_encoding()
+        else:
+            response = self._make(_UnframedResponse(status=status), headers)
+            response.force_close()
         await response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
@@ -90,12 +108,13 @@
             transport.close()
 
     def _make(
-        self, status: int, headers: Sequence[tuple[str, str]]
+        self,
+        response: web.StreamResponse,
+        headers: Sequence[tuple[str, str]],
     ) -> web.StreamResponse:
-        response = web.StreamResponse(status=status)
         for name, value in headers:
             response.headers.add(name, value)
-        if self._closing:
+        if self._is_closing():
             response.force_close()
         self._response = response
         return response
@@ -151,7 +170,7 @@
         self._limits = limits
         self._handler = handler
         self._closing = False
-        self._active = 0
+        self._active: set[web.RequestHandler] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self._server: _LimitedServer | None = None
@@ -160,7 +179,7 @@
     @property
     def active(self) -> int:
         """Requests that have no final answer."""
-        return self._active
+        return len(self._active)
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -186,30 +205,41 @@
           timeout_s: Longest wait in seconds.
         """
         self._sockets.close()
-        self._server.pre_shutdown()
+        for connection in self._server.connections:
+            if connection not in self._active:
+                connection.force_close()
         try:
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
         except TimeoutError:
-            log.warning("listener: {} requests left at stop", self._active)
+            log.warning("listener: {} requests left at stop", self.active)
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        reply = ConnectionReply(request, self._closing)
-        self._active += 1
+        reply = ConnectionReply(request, lambda: self._closing)
+        self._active.add(request.protocol)
         self._idle.clear()
         try:
-            try:
-                caller_request = await self._read(request)
-            except RefusalError as error:
-                await reply.send_whole(*problem_of(error))
-                return reply.response
-            await self._handler(caller_request, reply)
+            await self._answer(request, reply)
         finally:
-            self._active -= 1
-            if self._active == 0:
+            self._active.discard(request.protocol)
+            if not self._active:
                 self._idle.set()
-        return reply.response
+        # An aborted connection still needs an answer for the library to drop.
+        response = reply.response or web.Response(status=502)
+        if self._closing:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self, request: web.BaseRequest, reply: ConnectionReply
+    ) -> None:
+        try:
+            caller_request = await self._read(request)
+        except RefusalError as error:
+            await reply.send_whole(*problem_of(error))
+            return
+        await self._handler(caller_request, reply)
 
     async def _read(self, request: web.BaseRequest) -> CallerRequest:
         arrived_s = self._timers.now()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reply.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reply.py
@@ -19,9 +19,21 @@
         """Sends a whole answer."""
 
     async def begin(
-        self, status: int, headers: Sequence[tuple[str, str]]
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        *,
+        framed: bool = True,
     ) -> None:
-        """Sends the status and headers of an answer in pieces."""
+        """Sends the status and headers of an answer in pieces.
+
+        Args:
+          status: HTTP status.
+          headers: Headers in order.
+          framed: Whether the end of the body is marked. Otherwise it ends with
+              the connection, as the endpoint's own did, and claims no more
+              than the endpoint did.
+        """
 
     async def write(self, data: bytes) -> None:
         """Sends a piece of the body."""
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -287,6 +287,11 @@
             await rig.add_endpoint(answer_unframed)
             async with rig.call() as answer:
                 assert answer.status == (502 if is_reset else 200)
+                if not is_reset:
+                    # The node cannot vouch that the body is whole.
+                    assert "Content-Length" not in answer.headers
+                    assert "Transfer-Encoding" not in answer.headers
+                    assert await answer.read() == b"body"
 
     @pytest.mark.parametrize("delay_s", [0.0, 0.1])
     async def test_bytes_after_an_answer_belong_to_no_request(self, delay_s):
@@ -406,3 +411,32 @@
             with pytest.raises(aiohttp.ClientConnectorError):
                 async with rig.call():
                     pass
+
+    async def test_idle_connections_close_at_a_stop(self):
+        async with GatewayRig(ONCE) as rig:
+            await rig.add_endpoint(answer_with())
+            host, port = rig.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            rig.listener.close_after_answers()
+            stopping = asyncio.create_task(rig.listener.drain(2.0))
+            assert await asyncio.wait_for(reader.read(), 0.5) == b""
+            writer.close()
+            await asyncio.wait_for(stopping, 0.5)
+
+    async def test_a_request_under_way_is_answered_at_a_stop(self):
+        async def slow(exchange):
+            await asyncio.sleep(0.3)
+            await exchange.answer(200, echo_headers(exchange), b"done")
+
+        async with GatewayRig(ONCE) as rig:
+            await rig.add_endpoint(slow)
+
+            async def call():
+                async with rig.call() as answer:
+                    return answer.status, await answer.read()
+
+            task = asyncio.create_task(call())
+            await asyncio.sleep(0.1)
+            rig.listener.close_after_answers()
+            await asyncio.wait_for(rig.listener.drain(2.0), 1.0)
+            assert await task == (200, b"done")
