--- a/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections import OrderedDict
+from collections.abc import Iterable, Set
+
+import attrs
 
 from guavalane_core.forwarding.endpoint import Endpoint
 
@@ -11,6 +14,8 @@
 RETURN_GRACE_S = 2.0
 # Shorter outages let no entry expire, in seconds.
 LONG_OUTAGE_S = 2.0
+# Removed endpoints that are remembered.
+MAX_GONE = 4096
 
 
 class EndpointDirectory:
@@ -27,10 +32,16 @@
         self._lapsed: dict[str, float] = {}
         self._returned_s = -RETURN_GRACE_S
         self._away_since_s: float | None = None
+        self._gone: OrderedDict[str, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._endpoints)
 
+    @property
+    def recently_gone(self) -> Set[str]:
+        """The newest endpoints that were removed for good."""
+        return self._gone.keys()
+
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Returns an endpoint; None if it is not known."""
         return self._endpoints.get(endpoint_id)
@@ -65,8 +76,17 @@
 
     def put(self, endpoint: Endpoint) -> None:
         """Adds or replaces an endpoint."""
+        known = self._endpoints.get(endpoint.endpoint_id)
+        if (
+            known is not None
+            and known.leaving
+            and known.started_ms == endpoint.started_ms
+        ):
+            # An older copy of the entry must not undo the announcement.
+            endpoint = attrs.evolve(endpoint, leaving=True)
         self._discard(endpoint.endpoint_id)
         self._lapsed.pop(endpoint.endpoint_id, None)
+        self._gone.pop(endpoint.endpoint_id, None)
         self._endpoints[endpoint.endpoint_id] = endpoint
         of_service = self._by_service.setdefault(endpoint.service, {})
         of_service[endpoint.endpoint_id] = endpoint
@@ -96,5 +116,9 @@
 
     def _discard(self, endpoint_id: str) -> None:
         endpoint = self._endpoints.pop(endpoint_id, None)
-        if endpoint is not None:
-            del self._by_service[endpoint.service][endpoint_id]
+        if endpoint is None:
+            return
+        del self._by_service[endpoint.service][endpoint_id]
+        self._gone[endpoint_id] = None
+        if len(self._gone) > MAX_GONE:
+            self._gone.popitem(last=False)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 
 from loguru import logger as log
@@ -19,6 +20,7 @@
 from guavalane_entry.gateway.channels import EndpointChannels
 from guavalane_entry.gateway.cloud import Cloud
 from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.copies import PATH, CopyReader, encode_copy
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.duties import DutyContext, DutyRunner
 from guavalane_entry.gateway.forwarder import Forwarder
@@ -101,6 +103,21 @@
             {"/metrics": lambda: (200, self._metrics.render())},
         )
         self._watches = self._make_watches(configuration_kind, endpoint_kind)
+        self._copies = CopyReader(
+            self._watches,
+            self._reports,
+            self._configuration_version,
+            timers,
+            self._log,
+            rng,
+        )
+        self._copy_listener = StatusListener(
+            settings.peers,
+            {
+                PATH + name: functools.partial(encode_copy, watch)
+                for name, watch in self._watches.items()
+            },
+        )
         context = DutyContext(self._view, api, cloud, self._log)
         self._duties = DutyRunner(
             context, self._reports, timers, self._incarnation
@@ -127,9 +144,11 @@
         await self._metrics_listener.start()
         await self._callers.start()
         await self._reports.start()
+        await self._copy_listener.start()
         for watch in self._watches.values():
             watch.start()
         self._register_task = asyncio.create_task(self._register())
+        self._copies.start()
         self._duties.start()
         self._timers.call_every(EXPIRY_PERIOD_S, self._expire)
 
@@ -145,6 +164,8 @@
         left_s = self._settings.stop_grace_s - spent_s - CLOSING_S
         await self._callers.drain(max(0.0, left_s))
         await cancel_tasks(self._register_task)
+        await self._copies.stop()
+        await self._copy_listener.stop()
         for watch in self._watches.values():
             await watch.stop()
         self._reports.stop()
@@ -158,6 +179,10 @@
         table = self._view.table
         return table.configuration.limits if table else CallerLimits()
 
+    def _configuration_version(self) -> int:
+        table = self._view.table
+        return table.configuration.version if table else 0
+
     def _answer_ready(self) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -39,7 +39,7 @@
         self._reports = reports
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
-        self._reports.receive(data)
+        self._reports.receive(data, f"{addr[0]}:{addr[1]}")
 
     def error_received(self, exc: OSError) -> None:
         # A peer that is down refuses datagrams; its silence is noticed.
@@ -74,6 +74,8 @@
         self._newest: dict[str, tuple[int, int]] = {}
         self._heard: dict[str, float] = {}
         self._holders: dict[str, int] = {}
+        self._addresses: dict[str, str] = {}
+        self._configurations: dict[str, int] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -111,6 +113,17 @@
         """Returns whether a live node says that it holds the duties."""
         return any(self._holders.get(node) for node in self.live_peers())
 
+    def address_of(self, node: str) -> str | None:
+        """Returns where a node's last report came from."""
+        return self._addresses.get(node)
+
+    def newest_configuration(self) -> tuple[int, str]:
+        """Returns the newest version that a live node has, and the node."""
+        return max(
+            ((self._configurations[node], node) for node in self.live_peers()),
+            default=(0, ""),
+        )
+
     def send(self) -> None:
         """Sends one report to every other node."""
         if self._transport is None:
@@ -167,8 +180,13 @@
             ),
         )
 
-    def receive(self, data: bytes) -> None:
-        """Takes the report of another node."""
+    def receive(self, data: bytes, address: str) -> None:
+        """Takes the report of another node.
+
+        Args:
+          data: Datagram.
+          address: Address that it came from, `IP:PORT`.
+        """
         try:
             report = decode(data)
         except MessageError as error:
@@ -181,6 +199,8 @@
         if order <= self._newest.get(report.node, (0, 0)):
             return
         self._newest[report.node] = order
+        self._addresses[report.node] = address
+        self._configurations[report.node] = report.configuration
         self._apply(report)
 
     def _apply(self, report: NodeReport) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -36,6 +36,10 @@
         for stored in objects:
             self._take(stored)
 
+    def merge(self, objects: list[StoredObject]) -> None:
+        """Takes the list of another node; only a newer version counts."""
+        self.replace_all(objects)
+
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change; a configuration that is deleted stays in force."""
         if not event.deleted:
@@ -92,6 +96,16 @@
             self._note(endpoint)
         self._view.directory.replace_all(endpoints, self._now())
 
+    def merge(self, objects: list[StoredObject]) -> None:
+        """Takes the list of another node.
+
+        An endpoint that left for this node stays gone.
+        """
+        gone = self._view.directory.recently_gone
+        self.replace_all(
+            [stored for stored in objects if stored.name not in gone]
+        )
+
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
         name = event.object.name
@@ -160,6 +174,10 @@
         for stored in objects:
             self._put(stored)
 
+    def merge(self, objects: list[StoredObject]) -> None:
+        """Takes the list of another node."""
+        self.replace_all(objects)
+
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
         if event.deleted:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 from typing import Protocol
 
 from guavalane_core.exceptions import ObjectApiError, WatchGapError
@@ -31,6 +32,9 @@
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
 
+    def merge(self, objects: list[StoredObject]) -> None:
+        """Takes the list of another node, which may be older."""
+
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
 
@@ -73,8 +77,9 @@
         self._rng = rng
         self._version: str | None = None
         self._answered_s: float | None = None
-        self._lost = False
+        self._lost_s: float | None = None
         self._failures = 0
+        self._objects: dict[str, StoredObject] = {}
         self._task: asyncio.Task | None = None
 
     @property
@@ -82,6 +87,28 @@
         """Whether the whole kind was read at least once."""
         return self._answered_s is not None
 
+    @property
+    def kind(self) -> str:
+        """Kind that is followed."""
+        return self._kind
+
+    @property
+    def objects(self) -> Mapping[str, StoredObject]:
+        """Objects by name, as far as they are known."""
+        return self._objects
+
+    @property
+    def lost(self) -> bool:
+        """Whether the last call to the object API failed."""
+        return self._lost_s is not None
+
+    @property
+    def lost_for_s(self) -> float:
+        """Time since calls began to fail, in seconds; 0 if they do not."""
+        if self._lost_s is None:
+            return 0.0
+        return self._timers.now() - self._lost_s
+
     @property
     def age_s(self) -> float:
         """Time since the object API last answered, in seconds."""
@@ -97,11 +124,10 @@
         """Stops to follow the kind."""
         await cancel_tasks(self._task)
 
-    async def refresh(self) -> None:
-        """Lists the kind again now, as the copy is known to be old."""
-        await cancel_tasks(self._task)
-        self._version = None
-        self.start()
+    def take_copy(self, objects: list[StoredObject]) -> None:
+        """Takes the objects as another node knows them."""
+        self._objects = {stored.name: stored for stored in objects}
+        self._sink.merge(objects)
 
     async def _run(self) -> None:
         while True:
@@ -118,26 +144,34 @@
         if self._version is None:
             objects, version = await self._api.list(self._kind)
             self._answered()
+            self._objects = {stored.name: stored for stored in objects}
             self._sink.replace_all(objects)
             self._version = version
             return
         batch = await self._api.poll(self._kind, self._version, WAIT_S)
         self._answered()
         for event in batch.events:
-            self._sink.apply(event)
+            self._apply(event)
         self._version = batch.version
 
+    def _apply(self, event: ObjectEvent) -> None:
+        if event.deleted:
+            self._objects.pop(event.object.name, None)
+        else:
+            self._objects[event.object.name] = event.object
+        self._sink.apply(event)
+
     def _answered(self) -> None:
         self._answered_s = self._timers.now()
         self._failures = 0
-        if self._lost:
-            self._lost = False
+        if self._lost_s is not None:
+            self._lost_s = None
             self._log.event("store.regained", kind=self._kind)
             self._sink.regain()
 
     async def _wait_after(self, error: ObjectApiError) -> None:
-        if not self._lost:
-            self._lost = True
+        if self._lost_s is None:
+            self._lost_s = self._timers.now()
             self._log.event(
                 "store.lost",
                 kind=self._kind,
