--- /dev/null
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -0,0 +1,262 @@
+"""Tests of a node's copies of objects, with and without the object API."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import random
+
+import pytest
+
+from guavalane_core.exceptions import (
+    ObjectApiUnavailableError,
+    WatchGapError,
+)
+from guavalane_core.objects import ObjectBatch, ObjectEvent, StoredObject
+from guavalane_core.timers import LoopTimers, ManualTimers
+from guavalane_entry.gateway.copies import (
+    PATH,
+    CopyReader,
+    decode_copy,
+    encode_copy,
+)
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.listener import StatusListener
+from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.watch import KindWatch
+from guavalane_standins.processes import free_port
+
+
+class FakeApi:
+    """Object API with one kind and a switch for each fault."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 1
+        self.lists = 0
+        self.error = None
+        self.wait_error = None
+        self.deaf = False
+        self._changed = asyncio.Event()
+
+    def put(self, name, body):
+        """Writes an object and wakes the waits."""
+        self.revision += 1
+        self.objects[name] = StoredObject(
+            "things", name, str(self.revision), body
+        )
+        self.wake()
+
+    def fail(self, error):
+        """Lets calls under way and all later ones fail."""
+        self.error = error
+        self.wake()
+
+    def wake(self):
+        """Wakes the waits."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def list(self, kind):
+        self.lists += 1
+        if self.error is not None:
+            raise self.error
+        return list(self.objects.values()), str(self.revision)
+
+    async def poll(self, kind, version, wait_s):
+        while True:
+            if self.error is not None:
+                raise self.error
+            if self.wait_error is not None:
+                error, self.wait_error = self.wait_error, None
+                raise error
+            events = tuple(
+                ObjectEvent(stored)
+                for stored in self.objects.values()
+                if int(stored.version) > int(version)
+            )
+            if events and not self.deaf:
+                return ObjectBatch(events, str(self.revision))
+            await self._changed.wait()
+
+
+class RecordingSink:
+    """Keeps what it was told."""
+
+    def __init__(self):
+        self.bodies = {}
+        self.told = []
+
+    def replace_all(self, objects):
+        self.bodies = {stored.name: stored.body for stored in objects}
+
+    def merge(self, objects):
+        self.told.append("merge")
+        self.replace_all(objects)
+
+    def apply(self, event):
+        self.bodies[event.object.name] = event.object.body
+
+    def lose(self):
+        self.told.append("lose")
+
+    def regain(self):
+        self.told.append("regain")
+
+
+def make_watch(api, timers=None):
+    """Returns a watch and its sink."""
+    timers = timers or LoopTimers()
+    log = DecisionLog("n1", timers.wall)
+    sink = RecordingSink()
+    watch = KindWatch(api, "things", sink, timers, log, random.Random(1))
+    return watch, sink
+
+
+async def settle():
+    """Lets all tasks run that can."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+class TestKindWatch:
+    """Guards against changes that a node never hears of."""
+
+    async def test_a_change_is_taken(self):
+        api = FakeApi()
+        api.put("a", {"n": 1})
+        watch, sink = make_watch(api)
+        watch.start()
+        await settle()
+        api.put("b", {"n": 2})
+        await settle()
+        assert sink.bodies == {"a": {"n": 1}, "b": {"n": 2}}
+        assert api.lists == 1
+        await watch.stop()
+
+    async def test_a_cut_wait_is_followed_by_a_list(self):
+        api = FakeApi()
+        timers = ManualTimers()
+        watch, sink = make_watch(api, timers)
+        watch.start()
+        await settle()
+        # The change is made unheard, and later waits do not tell it either.
+        api.deaf = True
+        api.put("a", {"n": 1})
+        api.fail(ObjectApiUnavailableError("cut"))
+        await settle()
+        assert watch.lost
+        api.error = None
+        timers.advance(1.0)
+        await settle()
+        assert sink.bodies == {"a": {"n": 1}}
+        assert sink.told == ["lose", "regain"]
+        await watch.stop()
+
+    async def test_a_gap_is_followed_by_a_list(self):
+        api = FakeApi()
+        watch, sink = make_watch(api)
+        watch.start()
+        await settle()
+        api.deaf = True
+        api.put("a", {"n": 1})
+        api.wait_error = WatchGapError("old")
+        api.wake()
+        await settle()
+        assert sink.bodies == {"a": {"n": 1}}
+        await watch.stop()
+
+    async def test_calls_back_off_while_the_api_is_away(self):
+        api = FakeApi()
+        timers = ManualTimers()
+        api.error = ObjectApiUnavailableError("down")
+        watch, _ = make_watch(api, timers)
+        watch.start()
+        for _ in range(100):
+            await settle()
+            timers.advance(0.1)
+        assert 8 <= api.lists <= 30
+        await watch.stop()
+
+
+class FakeReports:
+    """Reports of one other node at a known address."""
+
+    def __init__(self, address):
+        self._address = address
+        self.version = 0
+
+    def live_peers(self):
+        return ["n2"]
+
+    def address_of(self, node):
+        return self._address
+
+    def newest_configuration(self):
+        return self.version, "n2"
+
+
+class TestCopyReader:
+    """Guards against a node that stays behind while others are served."""
+
+    @pytest.fixture
+    async def nodes(self):
+        """Two watches; the first one's copy is offered over HTTP."""
+        served, turned_away = FakeApi(), FakeApi()
+        served.put("a", {"n": 1})
+        turned_away.put("a", {"n": 1})
+        first, _ = make_watch(served)
+        second, sink = make_watch(turned_away)
+        address = Address("127.0.0.1", free_port())
+        listener = StatusListener(
+            address,
+            {PATH + "configuration": functools.partial(encode_copy, first)},
+        )
+        await listener.start()
+        timers = LoopTimers()
+        reports = FakeReports(str(address))
+        reader = CopyReader(
+            {"configuration": second},
+            reports,
+            lambda: sink.bodies["a"]["n"] if sink.bodies else 0,
+            timers,
+            DecisionLog("n2", timers.wall),
+            random.Random(1),
+        )
+        first.start()
+        second.start()
+        reader.start()
+        await asyncio.sleep(0.05)
+        yield served, turned_away, sink, reports
+        await reader.stop()
+        await first.stop()
+        await second.stop()
+        await listener.stop()
+
+    async def test_a_node_that_is_turned_away_reads_from_another(self, nodes):
+        served, turned_away, sink, _ = nodes
+        turned_away.fail(ObjectApiUnavailableError("turned away"))
+        served.put("a", {"n": 2})
+        await asyncio.sleep(1.8)
+        assert sink.bodies == {"a": {"n": 2}}
+
+    async def test_a_newer_version_at_another_node_is_read(self, nodes):
+        served, _, sink, reports = nodes
+        # The own wait has gone silent without an error.
+        served.put("a", {"n": 2})
+        reports.version = 2
+        await asyncio.sleep(1.2)
+        assert sink.bodies == {"a": {"n": 2}}
+
+    async def test_a_node_that_is_lost_itself_offers_no_copy(self, nodes):
+        served, turned_away, sink, _reports = nodes
+        served.fail(ObjectApiUnavailableError("down"))
+        turned_away.fail(ObjectApiUnavailableError("down"))
+        await asyncio.sleep(1.8)
+        assert sink.bodies == {"a": {"n": 1}}
+        assert "merge" not in sink.told
+
+    def test_bytes_that_are_no_copy(self):
+        for data in (b"", b"\x00", b"\x81\x01", b"\xff"):
+            with pytest.raises(ValueError):
+                decode_copy("things", data)
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,118 @@
+"""Tests of the operators' objects as the product's types."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavalane_core.exceptions import ConfigurationError
+from guavalane_core.forwarding import Delivery
+from guavalane_core.objects import StoredObject
+from guavalane_platform.decoding import decode_configuration, decode_endpoint
+from guavalane_platform_standins.deployment import make_config
+
+ENTRY = {
+    "Service": "llm",
+    "Address": "10.1.0.9:8080",
+    "Zone": "zone-a",
+    "Version": "v1",
+    "Slots": 64,
+    "State": "ready",
+    "ColdRemainingMs": 1500,
+    "Sequence": 4,
+    "Spot": True,
+    "born": 1_700_000_000_000,
+}
+
+
+def stored(body, name="i-1", kind="servers"):
+    """Returns a stored object."""
+    return StoredObject(kind, name, "7", body)
+
+
+class TestDecodeEndpoint:
+    """Guards against entries of other writers that name no endpoint."""
+
+    def test_fields(self):
+        endpoint = decode_endpoint(stored(ENTRY))
+        assert endpoint.endpoint_id == "i-1"
+        assert endpoint.slow_s == 1.5
+        assert endpoint.reclaimable
+        assert not endpoint.leaving
+        assert endpoint.started_ms == 1_700_000_000_000
+
+    def test_a_draining_server_is_leaving(self):
+        entry = {**ENTRY, "State": "draining", "leaves_ms": 900}
+        assert decode_endpoint(stored(entry)).leaving
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"State": "unheard-of"},
+            {"State": None},
+            {"State": ["ready"]},
+            {"Address": "10.1.0.9"},
+            {"Address": 7},
+            {"Slots": "64"},
+            {"Slots": True},
+            {"Service": None},
+            {"Zone": 3},
+            {"born": "yesterday"},
+        ],
+    )
+    def test_other_content_is_refused(self, changes):
+        with pytest.raises(ConfigurationError):
+            decode_endpoint(stored({**ENTRY, **changes}))
+
+    @pytest.mark.parametrize("key", ["State", "Address", "Service", "Zone"])
+    def test_missing_fields_are_refused(self, key):
+        entry = {k: v for k, v in ENTRY.items() if k != key}
+        with pytest.raises(ConfigurationError):
+            decode_endpoint(stored(entry))
+
+
+class TestDecodeConfiguration:
+    """Guards against routes that lead elsewhere than the operator said."""
+
+    def decode(self, body):
+        """Returns the configuration of a body."""
+        return decode_configuration(stored(body, "main", "config"))
+
+    def test_routes(self):
+        configuration = self.decode(make_config(7))
+        assert configuration.version == 7
+        once, look, talk = configuration.routes
+        assert once.delivery is Delivery.AT_MOST_ONCE
+        assert not once.repeatable
+        assert once.timeout_s == 2.0
+        assert look.repeatable
+        assert look.max_endpoints == 2
+        assert talk.delivery is Delivery.STREAM
+        assert talk.resumable
+        assert talk.max_gap_s == 0.5
+        assert [share.service for share in talk.shares] == ["llm"]
+        assert configuration.services["llm"].engine.slots == 64
+        assert configuration.organisations[0].counts_tokens
+
+    def test_no_tenants_means_no_keys(self):
+        body = make_config(1)
+        del body["Tenants"]
+        assert self.decode(body).organisations is None
+        assert self.decode(make_config(1, Tenants=[])).organisations == ()
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"Version": "7"},
+            {"Routes": [{"Name": "r"}]},
+            {"Routes": [{**make_config(1)["Routes"][0], "Kind": "other"}]},
+            {"Services": [{"Name": "app"}]},
+            {"Limits": {"MaxHeaderBytes": "many"}},
+        ],
+    )
+    def test_other_content_is_refused(self, changes):
+        with pytest.raises(ConfigurationError):
+            self.decode(make_config(1, **changes))
+
+    def test_another_object_of_the_kind_is_no_configuration(self):
+        with pytest.raises(ConfigurationError):
+            decode_configuration(stored(make_config(1), "other", "config"))
--- /dev/null
+++ b/tests/platform/test_node_processes.py
@@ -0,0 +1,191 @@
+"""Tests of nodes as processes on the stand-in platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from guavalane_platform_standins.deployment import (
+    ROOT,
+    TENANT,
+    Deployment,
+    make_config,
+)
+
+# The operators' bound on a configuration, in seconds.
+CONFIG_APPLY_S = 2.0
+TOKENS = "1200,60"
+EVENTS = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 11))
+
+
+def read_peak_kb(pid):
+    """Returns the largest resident memory that a process has had."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    (line,) = (line for line in text.splitlines() if "VmHWM" in line)
+    return int(line.split()[1])
+
+
+async def wait_for(condition, timeout_s):
+    """Waits until a function returns something true."""
+    end_s = time.monotonic() + timeout_s
+    while not (result := condition()):
+        assert time.monotonic() < end_s, "timed out"
+        await asyncio.sleep(0.05)
+    return result
+
+
+class TestServing:
+    """Guards against a node that serves a kind of request wrongly."""
+
+    async def test_each_kind_of_request(self):
+        async with Deployment(2) as deployment:
+            app = await deployment.add_endpoint("i-app", "app")
+            llm = await deployment.add_endpoint("i-llm", "llm")
+            await asyncio.sleep(0.2)
+            for node in deployment.nodes:
+                answer = await deployment.call(node, "/once/x", body=b"b")
+                assert answer == (200, b"done:b")
+                answer = await deployment.call(node, "/look/x", method="GET")
+                assert answer == (200, b"done:")
+                answer = await deployment.call(node, "/talk/x", tokens=TOKENS)
+                assert answer == (200, EVENTS)
+                answer = await deployment.call(node, "/none/x")
+                assert answer[0] == 404
+                answer = await deployment.call(node, "/once/x", key="other")
+                assert answer[0] == 401
+            assert len(app.runs) == 4
+            assert len(llm.runs) == 2
+            assert all(
+                run.headers["Tenant"] == TENANT
+                and "Authorization" not in run.headers
+                for run in (*app.runs, *llm.runs)
+            )
+
+    async def test_start_and_memory(self):
+        async with Deployment(1) as deployment:
+            node = deployment.nodes[0]
+            node.end()
+            node.start()
+            # The operators' bounds for a start are 3 s and 70 MB.
+            assert await deployment.wait_ready(node) < 3.0
+            peak_kb = read_peak_kb(node.process.pid)
+            assert peak_kb < 70_000
+
+
+class TestConfiguration:
+    """Guards against an old configuration that stays in force."""
+
+    async def test_a_change_is_in_force_on_every_node(self):
+        async with Deployment(3) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            config = make_config(5)
+            config["Routes"][0]["PathPrefix"] = "/new/"
+            deployment.store.put("config", "main", config)
+            await asyncio.sleep(CONFIG_APPLY_S)
+            for node in deployment.nodes:
+                assert (await deployment.call(node, "/new/x"))[0] == 200
+                assert (await deployment.call(node, "/once/x"))[0] == 404
+
+    async def test_a_change_after_a_lost_history_is_in_force(self):
+        async with Deployment(3) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            deployment.store.faults.status = 503
+            deployment.store.forget_history()
+            await asyncio.sleep(0.5)
+            deployment.store.faults.status = None
+            config = make_config(6)
+            config["Routes"][0]["PathPrefix"] = "/new/"
+            deployment.store.put("config", "main", config)
+            await asyncio.sleep(CONFIG_APPLY_S)
+            for node in deployment.nodes:
+                assert (await deployment.call(node, "/new/x"))[0] == 200
+
+    async def test_it_stays_in_force_while_the_store_is_away(self):
+        async with Deployment(1) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            await asyncio.sleep(0.3)
+            deployment.store.faults.status = 503
+            deployment.store.forget_history()
+            await asyncio.sleep(1.0)
+            node = deployment.nodes[0]
+            assert (await deployment.call(node, "/once/x"))[0] == 200
+
+
+class TestStop:
+    """Guards against requests that a planned stop cuts off."""
+
+    async def test_a_stream_under_way_is_finished(self):
+        async with Deployment(1) as deployment:
+            await deployment.add_endpoint("i-llm", "llm", event_s=0.3)
+            await asyncio.sleep(0.2)
+            node = deployment.nodes[0]
+            stream = asyncio.create_task(
+                deployment.call(node, "/talk/x", tokens=TOKENS)
+            )
+            await asyncio.sleep(0.3)
+            node.signal(signal.SIGTERM)
+            await deployment.wait_ready(node, ready=False)
+            # The load balancer still sends callers for about two seconds.
+            assert (await deployment.call(node, "/talk/x", tokens="9,6"))[
+                0
+            ] == 200
+            assert await stream == (200, EVENTS)
+            code = await asyncio.to_thread(node.process.wait, 8.0)
+            assert code == 0
+
+
+class TestDuties:
+    """Guards against usage that is counted twice, or not at all."""
+
+    async def test_usage_survives_the_death_of_its_reporter(self):
+        async with Deployment(3) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            await asyncio.sleep(0.5)
+            for i in range(30):
+                node = deployment.nodes[i % 3]
+                assert (await deployment.call(node, "/once/x"))[0] == 200
+            reports = await wait_for(deployment.cloud.usage, 12.0)
+            holder = deployment.cloud.calls[-1].holder
+            first = next(n for n in deployment.nodes if n.name == holder)
+            first.end()
+            others = [n for n in deployment.nodes if n is not first]
+            for i in range(20):
+                assert (await deployment.call(others[i % 2], "/once/x"))[
+                    0
+                ] == 200
+
+            def total():
+                reports = deployment.cloud.usage()
+                counts = [c[0].get(TENANT, 0) for c in reports.values()]
+                return sum(counts) >= 50
+
+            await wait_for(total, 25.0)
+            reports = deployment.cloud.usage()
+            for counts in reports.values():
+                assert all(count == counts[0] for count in counts)
+            assert sum(c[0].get(TENANT, 0) for c in reports.values()) == 50
+            numbers = [call.number for call in deployment.cloud.calls]
+            assert numbers == sorted(numbers)
+
+
+class TestMain:
+    """Guards against a node that starts with bad settings."""
+
+    def test_invalid_settings_end_with_a_code(self, tmp_path):
+        path = tmp_path / "settings.yaml"
+        path.write_text("NodeName: a\nZone: 3\n")
+        result = subprocess.run(
+            [sys.executable, str(ROOT / "platform/launch.py")],
+            env={**os.environ, "GUAVALANE_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+        assert result.returncode == 2
+        assert "settings: Zone" in result.stderr
+        assert "settings: Listen" in result.stderr
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,112 @@
+"""Tests of the store client against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from guavalane_core.exceptions import (
+    ObjectApiUnavailableError,
+    ObjectConflictError,
+    ObjectNotFoundError,
+    WatchGapError,
+    WriteOutcomeUnknownError,
+)
+from guavalane_core.objects import ConditionalWriter
+from guavalane_platform.objects import StoreObjectApi
+from guavalane_platform_standins.store import StoreServer
+from guavalane_standins.processes import free_port
+
+
+@pytest.fixture
+async def store():
+    """Serves a store; yields it and a client."""
+    server = StoreServer()
+    runner = web.AppRunner(server.application(), shutdown_timeout=0.1)
+    await runner.setup()
+    port = free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    client = StoreObjectApi(f"127.0.0.1:{port}")
+    yield server, client
+    await client.close()
+    await runner.cleanup()
+
+
+class TestStoreObjectApi:
+    """Guards against writes that are misjudged and changes that are missed."""
+
+    async def test_create_read_replace_delete(self, store):
+        _, client = store
+        created = await client.create("things", "a", {"n": 1})
+        assert (await client.get("things", "a")).body == {"n": 1}
+        updated = await client.update("things", "a", {"n": 2}, created.version)
+        with pytest.raises(ObjectConflictError):
+            await client.update("things", "a", {"n": 3}, created.version)
+        with pytest.raises(ObjectConflictError):
+            await client.create("things", "a", {})
+        await client.delete("things", "a", updated.version)
+        with pytest.raises(ObjectNotFoundError):
+            await client.get("things", "a")
+
+    async def test_a_list_spans_pages(self, store):
+        server, client = store
+        server.faults.page_size = 2
+        for name in "abcde":
+            server.put("things", name, {})
+        objects, version = await client.list("things")
+        assert [stored.name for stored in objects] == list("abcde")
+        batch = await client.poll("things", version, 0.05)
+        assert batch.events == ()
+
+    async def test_a_wait_returns_changes_at_once(self, store):
+        server, client = store
+        _, version = await client.list("things")
+        waiting = asyncio.create_task(client.poll("things", version, 5.0))
+        await asyncio.sleep(0.05)
+        server.put("things", "a", {"n": 1})
+        server.remove("things", "a")
+        batch = await asyncio.wait_for(waiting, 1.0)
+        assert batch.events[0].object.body == {"n": 1}
+        server.put("other", "b", {})
+        batch = await client.poll("things", batch.version, 0.05)
+        assert all(event.deleted for event in batch.events)
+
+    async def test_a_forgotten_history_is_told(self, store):
+        server, client = store
+        _, version = await client.list("things")
+        server.put("things", "a", {})
+        server.forget_history()
+        with pytest.raises(WatchGapError):
+            await client.poll("things", version, 1.0)
+
+    @pytest.mark.parametrize("status", [429, 503])
+    async def test_a_refused_call_did_nothing(self, store, status):
+        server, client = store
+        server.faults.status = status
+        with pytest.raises(ObjectApiUnavailableError):
+            await client.create("things", "a", {})
+        assert server.spec("things", "a") is None
+
+    async def test_a_lost_answer_is_settled_by_reading_back(self, store):
+        server, client = store
+        server.faults.lose_answers = 1
+        with pytest.raises(WriteOutcomeUnknownError):
+            await client.create("things", "a", {})
+        server.faults.lose_answers = 1
+        written = await ConditionalWriter(client).create("things", "b", {})
+        assert server.spec("things", "b") == written.body
+
+    async def test_a_silent_store_is_given_up(self, store):
+        server, client = store
+        server.faults.silent = True
+        with pytest.raises(ObjectApiUnavailableError):
+            await client.get("things", "a")
+
+    async def test_unreadable_content_does_not_hide_the_others(self, store):
+        server, client = store
+        server.put("things", "a", "text")
+        server.put("things", "b", {"n": 1})
+        objects, _ = await client.list("things")
+        assert [stored.body for stored in objects] == [{}, {"n": 1}]
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+"""Tests of the platform's settings file."""
+
+from __future__ import annotations
+
+import pytest
+import yaml
+
+from guavalane_core.exceptions import ConfigurationError
+from guavalane_platform.settings import parse_settings, to_gateway_settings
+
+VALID = {
+    "NodeName": "edge-1",
+    "Zone": "zone-a",
+    "Ip": "10.1.0.14",
+    "Listen": {
+        "Frontend": "10.1.0.14:8221",
+        "Readiness": "10.1.0.14:8224",
+        "Control": "10.1.0.14:8229",
+    },
+    "InternalPorts": [7600, 7615],
+    "Platform": {"Address": "10.200.1.7:8225", "WritesPerS": 400},
+    "Cloud": {"Address": "10.200.0.35:8225"},
+    "Bounds": {"LeaseMs": 3000, "QuotaSlack": 140000, "New": True},
+    "DataDir": None,
+}
+
+
+class TestParseSettings:
+    """Guards against a node that starts with settings it misread."""
+
+    def test_values_and_units(self):
+        settings = to_gateway_settings(parse_settings(yaml.safe_dump(VALID)))
+        assert settings.name == "edge-1"
+        assert str(settings.callers) == "10.1.0.14:8221"
+        assert str(settings.peers) == "10.1.0.14:7600"
+        assert settings.lease_s == 3.0
+        assert settings.allotments.slack == 140_000
+
+    def test_bounds_may_be_missing(self):
+        data = {key: VALID[key] for key in VALID if key != "Bounds"}
+        settings = to_gateway_settings(parse_settings(yaml.safe_dump(data)))
+        assert settings.stop_grace_s == 8.0
+
+    def test_all_mistakes_are_told_at_once(self):
+        data = {**VALID, "Zone": 7, "Listen": {"Frontend": "x"}}
+        del data["NodeName"]
+        with pytest.raises(ConfigurationError) as caught:
+            parse_settings(yaml.safe_dump(data))
+        text = "\n".join(caught.value.mistakes)
+        for key in ("NodeName", "Zone", "Listen.Frontend", "Listen.Readiness"):
+            assert key in text
+
+    @pytest.mark.parametrize("text", ["", "- a\n- b", "a: [1"])
+    def test_other_documents(self, text):
+        with pytest.raises(ConfigurationError):
+            parse_settings(text)
+
+    def test_one_internal_port_is_not_enough(self):
+        data = {**VALID, "InternalPorts": [7600]}
+        with pytest.raises(ConfigurationError):
+            parse_settings(yaml.safe_dump(data))
