--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 
 demo: setup
 	$(BIN)/python -m guavalane_standins.demo
+	PYTHONPATH=platform:platform/standins \
+		$(BIN)/python -m guavalane_platform_standins.demo
 
 test: setup
 	$(BIN)/python -m pytest
