--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -120,6 +120,21 @@
         return response
 
 
+class _CallerConnection(web.RequestHandler):
+    """Connection that knows whether bytes of a request have come.
+
+    The library starts a handler only after the step in which it read the
+    request, so a stop in between would take the connection for idle.
+    """
+
+    busy = False
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of a caller."""
+        self.busy = True
+        super().data_received(data)
+
+
 class _LimitedServer(web.Server):
     """Server whose connections get the limits in force when they open."""
 
@@ -131,9 +146,9 @@
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self) -> _CallerConnection:
         limits = self._limits()
-        return web.RequestHandler(
+        return _CallerConnection(
             self,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_s * IDLE_FACTOR,
@@ -181,6 +196,11 @@
         """Requests that have no final answer."""
         return len(self._active)
 
+    @property
+    def connections(self) -> list[_CallerConnection]:
+        """Open connections."""
+        return self._server.connections
+
     async def start(self) -> None:
         """Starts to listen."""
         self._server = _LimitedServer(self._serve, self._limits)
@@ -206,7 +226,7 @@
         """
         self._sockets.close()
         for connection in self._server.connections:
-            if connection not in self._active:
+            if not connection.busy:
                 connection.force_close()
         try:
             async with asyncio.timeout(timeout_s):
@@ -223,6 +243,7 @@
             await self._answer(request, reply)
         finally:
             self._active.discard(request.protocol)
+            request.protocol.busy = False
             if not self._active:
                 self._idle.set()
         # An aborted connection still needs an answer for the library to drop.
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -440,3 +440,20 @@
             rig.listener.close_after_answers()
             await asyncio.wait_for(rig.listener.drain(2.0), 1.0)
             assert await task == (200, b"done")
+
+    async def test_a_request_that_has_just_come_is_answered_at_a_stop(self):
+        """The stop falls between the reading of a request and its handler."""
+        async with GatewayRig(ONCE) as rig:
+            await rig.add_endpoint(answer_with())
+            host, port = rig.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.05)
+            (connection,) = rig.listener.connections
+            connection.data_received(
+                f"POST /a/x HTTP/1.1\r\nHost: app.example\r\n"
+                f"{NAMES.request_id}: q-1\r\n"
+                f"Content-Length: 0\r\n\r\n".encode()
+            )
+            await asyncio.wait_for(rig.listener.drain(2.0), 1.0)
+            assert (await reader.read()).startswith(b"HTTP/1.1 200")
+            writer.close()
