--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -29,8 +29,7 @@
     def __init__(
         self, over_ratio: float = 0.0, over_burst: float = 0.0
     ) -> None:
-        self._over_ratio = over_ratio
-        self._over_burst = over_burst
+        self.set_tolerance(over_ratio, over_burst)
         self._allotments: dict[str, SharedAllotment] = {}
         self._drawn: dict[str, int] = {}
         # Totals of other nodes by name and incarnation.
@@ -41,6 +40,11 @@
         """Units that this process has drawn, by organisation."""
         return self._drawn
 
+    def set_tolerance(self, over_ratio: float, over_burst: float) -> None:
+        """Changes the tolerance; it holds from the next configuration on."""
+        self._over_ratio = over_ratio
+        self._over_burst = over_burst
+
     def set_organisations(
         self, organisations: Sequence[Organisation], now_s: float
     ) -> None:
--- a/packages/guavalane-core/src/guavalane_core/forwarding/retries.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/retries.py
@@ -22,17 +22,21 @@
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        self._ratio = ratio * USED_PART
-        self._slack = slack * USED_PART
-        self._window_s = window_s
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        self.set_limits(ratio, slack, window_s)
 
     @property
     def repeats(self) -> int:
         """Repeats in the window at the last call."""
         return len(self._repeats)
 
+    def set_limits(self, ratio: float, slack: float, window_s: float) -> None:
+        """Changes the limits; what was spent stays spent."""
+        self._ratio = ratio * USED_PART
+        self._slack = slack * USED_PART
+        self._window_s = window_s
+
     def on_request(self, now_s: float) -> None:
         """Counts a request of a caller."""
         self._requests.append(now_s)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -156,6 +156,11 @@
         self._duties.start()
         self._timers.call_every(EXPIRY_PERIOD_S, self._expire)
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Takes changed settings."""
+        needs_restart = self._view.reload(settings)
+        self._log.event("settings.reloaded", needs_restart=needs_restart)
+
     async def stop(self) -> None:
         """Stops without cutting off a request, within the grace."""
         began_s = self._timers.now()
@@ -165,7 +170,8 @@
         await self._duties.stop()
         await self._timers.sleep(UNREADY_S)
         spent_s = self._timers.now() - began_s
-        left_s = self._settings.stop_grace_s - spent_s - CLOSING_S
+        grace_s = self._view.settings.stop_grace_s
+        left_s = grace_s - spent_s - CLOSING_S
         await self._callers.drain(max(0.0, left_s))
         await cancel_tasks(self._register_task)
         await self._copies.stop()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Mapping
 
+import attrs
+
 from guavalane_core.allotments import AllotmentLedger
 from guavalane_core.fleet.replica_demand import DemandTotals, ReplicaDemand
 from guavalane_core.forwarding import (
@@ -22,6 +24,10 @@
 # Part of the operators' tolerance of allotments that is used on purpose. The
 # rest covers the use of other nodes that is not reported yet.
 USED_TOLERANCE = 0.5
+# Settings that are in force as soon as they are read.
+LIVE_SETTINGS = frozenset(
+    {"retries", "allotments", "usage_due_s", "stop_grace_s"}
+)
 
 
 class NodeView:
@@ -36,17 +42,15 @@
     def __init__(
         self, settings: GatewaySettings, timers: Timers, rng: random.Random
     ) -> None:
-        self.settings = settings
+        self._settings = settings
         self.timers = timers
         self.rng = rng
         self.directory = EndpointDirectory()
         self.work = WorkTable()
         self.prefixes = PrefixDirectory()
         self.ejector = OutlierEjector()
-        tolerance = settings.allotments
-        self.allotments = AllotmentLedger(
-            tolerance.ratio * USED_TOLERANCE, tolerance.slack * USED_TOLERANCE
-        )
+        self.allotments = AllotmentLedger()
+        self._apply_tolerance()
         self.clock = TrueClock(timers)
         self.usage = UsageCounts(settings.usage_window_s)
         self.peers: dict[str, str] = {}
@@ -56,6 +60,11 @@
         self._demands: dict[str, ReplicaDemand] = {}
         self._sent: dict[str, DemandTotals] = {}
 
+    @property
+    def settings(self) -> GatewaySettings:
+        """Settings in force."""
+        return self._settings
+
     @property
     def table(self) -> RouteTable | None:
         """Configuration in force; None before the first."""
@@ -71,6 +80,35 @@
         """Nodes that are known, this one included."""
         return len(self.peers) + 1
 
+    def reload(self, settings: GatewaySettings) -> list[str]:
+        """Takes changed settings.
+
+        Addresses and names hold for the life of a process; the other changes
+        are in force at once.
+
+        Returns:
+          Names of the changed settings that need a restart.
+        """
+        current = self._settings
+        changed = [
+            field.name
+            for field in attrs.fields(GatewaySettings)
+            if getattr(settings, field.name) != getattr(current, field.name)
+        ]
+        live = {
+            name: getattr(settings, name)
+            for name in changed
+            if name in LIVE_SETTINGS
+        }
+        self._settings = attrs.evolve(current, **live)
+        self._apply_tolerance()
+        if self._table is not None:
+            self._apply_organisations(self._table.configuration)
+        limits = self._settings.retries
+        for budget in self._retries.values():
+            budget.set_limits(limits.ratio, limits.slack, limits.window_s)
+        return [name for name in changed if name not in LIVE_SETTINGS]
+
     def offer(self, configuration: ForwardingConfiguration) -> bool:
         """Takes a configuration if its version is higher; tells whether."""
         current = self._table
@@ -80,10 +118,21 @@
         ):
             return False
         self._table = RouteTable(configuration)
+        self._apply_organisations(configuration)
+        return True
+
+    def _apply_tolerance(self) -> None:
+        tolerance = self._settings.allotments
+        self.allotments.set_tolerance(
+            tolerance.ratio * USED_TOLERANCE, tolerance.slack * USED_TOLERANCE
+        )
+
+    def _apply_organisations(
+        self, configuration: ForwardingConfiguration
+    ) -> None:
         self.allotments.set_organisations(
             configuration.organisations or (), self.timers.now()
         )
-        return True
 
     def retries(self, service: str) -> SharedRetryBudget:
         """Returns the retry budget of a service."""
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -149,6 +149,23 @@
             assert code == 0
 
 
+class TestReload:
+    """Guards against a reload that ends a node or is not noticed."""
+
+    async def test_changed_settings_with_and_without_a_signal(self):
+        async with Deployment(1) as deployment:
+            node = deployment.nodes[0]
+            node.change_settings(Bounds={"GraceS": 6, "UsageWindowS": 1})
+            await wait_for(lambda: "settings.reloaded" in node.read_output(), 5)
+            node.change_settings(NodeName=7)
+            node.signal(signal.SIGHUP)
+            await wait_for(lambda: "NodeName" in node.read_output(), 5)
+            assert await deployment.is_ready(node)
+            node.change_settings(NodeName=node.name, Zone="zone-b")
+            node.signal(signal.SIGHUP)
+            await wait_for(lambda: '["zone"]' in node.read_output(), 5)
+
+
 class TestDuties:
     """Guards against usage that is counted twice, or not at all."""
 
