Tell the story of a request from the logs of nodes

Adds guavalane explain, a line for each attempt with the load that it saw, the time to the first event and the longest gap, and gauges of the node's state.

--- a/packages/guavalane-cli/src/guavalane_cli/main.py
+++ b/packages/guavalane-cli/src/guavalane_cli/main.py
@@ -11,6 +11,7 @@
 from guavalane_cli.client import OperatorApiError, OperatorClient
 from guavalane_cli.commands import config, fleet, replay
 from guavalane_cli.commands.endpoints import EndpointCommands
+from guavalane_cli.commands.explain import explain, read_lines
 from guavalane_cli.commands.move import MoveCommands
 from guavalane_cli.output import render
 from guavalane_core.exceptions import ConfigurationError, GuavalaneError
@@ -141,6 +142,16 @@
         client = context.client_of(node) if node else context.client
         context.show(client.get("/operator/dump"))
 
+    def explain(self, request_id: str, *files: str) -> None:
+        """Tells the story of a request from the logs of nodes.
+
+        Args:
+          request_id: Identifier of the request.
+          *files: Logs of any number of nodes; standard input if none.
+        """
+        # fire reads an identifier of digits as a number.
+        print(explain(str(request_id), read_lines(files)))
+
     def replay(self, *traces: str) -> None:
         """Replays recorded traces; exit code 1 if one ends not as stated.
 
--- /dev/null
+++ b/packages/guavalane-cli/tests/test_explain.py
@@ -0,0 +1,57 @@
+"""Tests of the story of a request."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from guavalane_cli.commands.explain import UnknownRequestError, explain
+
+
+def line(time, node, event, **fields):
+    """Returns a log line."""
+    return json.dumps({"node": node, "event": event, **fields, "time": time})
+
+
+LINES = [
+    line(1.0, "n1", "node.started"),
+    line(2.0, "n1", "configuration.offered", version=7, in_force=True),
+    line(2.1, "n1", "configuration.offered", version=6, in_force=False),
+    line(3.0, "n1", "endpoint.listed", endpoint="e-1", leaving=True),
+    line(4.0, "n1", "store.lost", kind="servers"),
+    line(6.0, "n1", "attempt.sent", request="q-1", endpoint="e-1"),
+    line(6.5, "n1", "request.refused", request="q-1", code="no_endpoint"),
+    line(6.2, "n2", "request.answered", request="q-2"),
+]
+
+
+class TestExplain:
+    """Guards against a failure that nobody can explain afterwards."""
+
+    def test_the_story_and_the_beliefs_at_the_time(self):
+        text = explain("q-1", LINES)
+        assert "configuration: version 7" in text
+        assert "servers lost for 2.0 s" in text
+        assert "e-1: leaving, told 3.0 s ago" in text
+        assert text.index("attempt.sent") < text.index("request.refused")
+        assert "no_endpoint" in text
+        assert "n2" not in text
+
+    def test_lines_in_any_order_and_with_prefixes(self):
+        shuffled = [f"  12.5 edge-1 {entry}" for entry in reversed(LINES)]
+        assert explain("q-1", shuffled) == explain("q-1", LINES)
+
+    def test_lines_that_are_no_json_are_passed_over(self):
+        noise = ["", "text", "{", "[1]", '{"event": 1}', "{}"]
+        assert explain("q-1", noise + LINES) == explain("q-1", LINES)
+
+    def test_a_restart_ends_what_the_process_believed(self):
+        restarted = [*LINES[:5], line(5.0, "n1", "node.started"), *LINES[5:]]
+        text = explain("q-1", restarted)
+        assert "version None" in text
+        assert "lost" not in text
+
+    def test_an_unknown_request(self):
+        with pytest.raises(UnknownRequestError):
+            explain("q-9", LINES)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
@@ -18,7 +18,7 @@
     decide_next,
 )
 from guavalane_core.forwarding.events import EventTooLongError
-from guavalane_core.placement import Work
+from guavalane_core.placement import Candidate, Work
 from guavalane_entry.gateway.admission import (
     UNREADY_RETRY_S,
     Admitted,
@@ -74,6 +74,8 @@
       last_event_id: Last event that the caller got.
       counted_s: Estimate of the true time under which its usage was counted;
           None if it was not.
+      first_event_s: Time from the request to the first event of its stream.
+      longest_gap_s: Longest pause between two reads of its stream.
       last_failure: Endpoint's own failure, whole, to be passed on at the end.
     """
 
@@ -83,6 +85,8 @@
     tried: set[str] = attrs.field(factory=set)
     last_event_id: str | None = None
     counted_s: float | None = None
+    first_event_s: float | None = None
+    longest_gap_s: float = 0.0
     last_failure: tuple[int, list[tuple[str, str]], bytes] | None = None
 
 
@@ -212,24 +216,24 @@
 
     async def _attempt_until_final(self) -> AttemptOutcome:
         for _ in range(MAX_ATTEMPTS):
-            endpoint = self._next_endpoint()
-            if endpoint is None:
+            candidate = self._next_candidate()
+            if candidate is None:
                 return AttemptOutcome.NOT_SENT
-            outcome = await self._attempt(endpoint)
+            endpoint = candidate.endpoint
+            outcome = await self._attempt(candidate)
             if outcome is AttemptOutcome.ANSWERED:
                 return outcome
             if self._decide(outcome, endpoint) is not Decision.TRY_ANOTHER:
                 return outcome
         return outcome
 
-    def _next_endpoint(self) -> Endpoint | None:
-        candidate = select_endpoint(
+    def _next_candidate(self) -> Candidate | None:
+        return select_endpoint(
             self._view,
             self._admitted.service,
             self._request,
             self._progress.tried,
         )
-        return None if candidate is None else candidate.endpoint
 
     def _decide(self, outcome: AttemptOutcome, endpoint: Endpoint) -> Decision:
         view = self._view
@@ -256,9 +260,19 @@
         )
         return decision
 
-    async def _attempt(self, endpoint: Endpoint) -> AttemptOutcome:
+    async def _attempt(self, candidate: Candidate) -> AttemptOutcome:
         view = self._view
         progress = self._progress
+        endpoint = candidate.endpoint
+        self._forwarder.log.request(
+            "attempt.sent",
+            self._request.request_id,
+            endpoint=endpoint.endpoint_id,
+            requests=candidate.load.requests,
+            prefill_tokens=candidate.load.prefill_tokens,
+            cached_tokens=candidate.cached_tokens,
+            left_s=round(self._time_left(), 3),
+        )
         progress.tried.add(endpoint.endpoint_id)
         now_s = self._now()
         view.ejector.on_chosen(endpoint.endpoint_id, now_s)
@@ -401,6 +415,7 @@
         splitter = EventSplitter()
         chunks = answer.chunks()
         first_s = None
+        read_s = self._now()
         while True:
             try:
                 async with asyncio.timeout(self._silence_limit()):
@@ -417,10 +432,13 @@
                 raise BrokenAnswerError(str(error)) from error
             if not events:
                 continue
+            now_s = self._now()
             if first_s is None:
-                first_s = self._now()
+                first_s = now_s
                 work.prefill_tokens = 0
                 self._count_run()
+            self._note_events(now_s, now_s - read_s)
+            read_s = now_s
             await self._begin_stream(answer)
             for event in events:
                 if event.event_id is not None:
@@ -434,6 +452,16 @@
             rates = self._view.rates(self._admitted.service.name)
             rates.on_run(self._now() - first_s)
 
+    def _note_events(self, now_s: float, gap_s: float) -> None:
+        progress = self._progress
+        if progress.first_event_s is None:
+            progress.first_event_s = now_s - self._request.arrived_s
+            self._forwarder.metrics.record(
+                "first_event", self._admitted.route.name, progress.first_event_s
+            )
+        else:
+            progress.longest_gap_s = max(progress.longest_gap_s, gap_s)
+
     def _silence_limit(self) -> float | None:
         route = self._admitted.route
         if not route.resumable or not self._reply.begun:
@@ -475,16 +503,26 @@
 
     def _log_end(self, event: str) -> None:
         admitted = self._admitted
-        route = admitted.route.name
+        progress = self._progress
+        route = admitted.route
         elapsed_s = self._now() - self._request.arrived_s
-        self._forwarder.metrics.count("requests", event.partition(".")[2])
-        self._forwarder.metrics.record("request", route, elapsed_s)
+        metrics = self._forwarder.metrics
+        metrics.count("requests", event.partition(".")[2])
+        metrics.record("request", route.name, elapsed_s)
+        timing: dict[str, float] = {}
+        if progress.first_event_s is not None:
+            timing["first_event_s"] = round(progress.first_event_s, 3)
+            timing["longest_gap_s"] = round(progress.longest_gap_s, 3)
+            metrics.record("longest_gap", route.name, progress.longest_gap_s)
         self._forwarder.log.request(
             event,
             self._request.request_id,
-            route=route,
+            route=route.name,
+            delivery=route.delivery.value,
+            objective_s=route.latency_objective_s,
             configuration=admitted.version,
-            endpoints=sorted(self._progress.tried),
-            arrivals=self._progress.arrivals,
+            endpoints=sorted(progress.tried),
+            arrivals=progress.arrivals,
             elapsed_s=round(elapsed_s, 3),
+            **timing,
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -126,6 +126,7 @@
         self._duties = DutyRunner(
             context, self._reports, timers, self._incarnation
         )
+        self._add_gauges()
         self._stopping = False
         self._register_task: asyncio.Task | None = None
 
@@ -185,6 +186,36 @@
         self._log.event("node.stopped", left=self._callers.active)
         self._log.stop()
 
+    def _add_gauges(self) -> None:
+        """Adds figures of the node's state to its metrics."""
+        view = self._view
+        gauges = {
+            "watch_age_seconds": lambda: {
+                name: watch.age_s for name, watch in self._watches.items()
+            },
+            "watch_lost_seconds": lambda: {
+                name: watch.lost_for_s for name, watch in self._watches.items()
+            },
+            "configuration_version": lambda: {
+                "": self._configuration_version()
+            },
+            "requests_active": lambda: {"": self._callers.active},
+            "endpoints_known": lambda: {"": len(view.directory)},
+            "peers": lambda: {
+                "known": len(view.peers),
+                "heard": len(self._reports.live_peers()),
+            },
+            "allotment_drawn_units": lambda: dict(view.allotments.drawn),
+            "duties_fencing_number": lambda: {"": self._duties.held_number()},
+            "log_lines_dropped": lambda: {"": self._log.dropped},
+            "work_requests": lambda: {
+                name: load.requests
+                for name, load in view.work.own_loads().items()
+            },
+        }
+        for name, read in gauges.items():
+            self._metrics.gauge(name, read)
+
     def _limits(self) -> CallerLimits:
         table = self._view.table
         return table.configuration.limits if table else CallerLimits()
--- a/packages/guavalane-entry/src/guavalane_entry/metrics.py
+++ b/packages/guavalane-entry/src/guavalane_entry/metrics.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
+    GaugeMetricFamily,
     Metric,
     SummaryMetricFamily,
 )
@@ -27,6 +28,7 @@
         self._counters: Counter[tuple[str, str]] = Counter()
         self._times: dict[tuple[str, str], HdrHistogram] = {}
         self._sums: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, Callable[[], dict[str, float]]] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -34,6 +36,15 @@
         """Adds to a counter."""
         self._counters[name, label] += amount
 
+    def gauge(self, name: str, read: Callable[[], dict[str, float]]) -> None:
+        """Adds a figure that is read when the metrics are.
+
+        Args:
+          name: Name, with its unit.
+          read: Function that returns the values by label.
+        """
+        self._gauges[name] = read
+
     def total(self, name: str) -> int:
         """Returns a counter summed over its labels."""
         return sum(n for (key, _), n in self._counters.items() if key == name)
@@ -68,6 +79,13 @@
             )
             family.add_metric([label], value)
         yield from counters.values()
+        for name, read in sorted(self._gauges.items()):
+            gauge = GaugeMetricFamily(
+                f"guavalane_{name}", f"Current {name}.", labels=["label"]
+            )
+            for label, value in sorted(read().items()):
+                gauge.add_metric([label], value)
+            yield gauge
         for (name, label), histogram in sorted(self._times.items()):
             family = SummaryMetricFamily(
                 f"guavalane_{name}_seconds",
