--- a/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
+++ b/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import sys
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Any
@@ -13,6 +14,7 @@
 from guavalane_core.exceptions import GuavalaneError
 
 STANDARD_INPUT = "-"
+_DECODER = json.JSONDecoder()
 # Fields that every line has.
 _COMMON = frozenset({"node", "event", "request", "time"})
 
@@ -83,15 +85,14 @@
     """
     parsed = []
     for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            data = json.loads(line[start:])
-        except ValueError:
-            continue
-        if isinstance(data, dict) and {"event", "node", "time"} <= data.keys():
-            parsed.append(data)
+        # A process that lost power may leave half a line before the next.
+        for start in re.finditer(r'\{"node"', line):
+            try:
+                data, _ = _DECODER.raw_decode(line, start.start())
+            except ValueError:
+                continue
+            if {"event", "time"} <= data.keys():
+                parsed.append(data)
     parsed.sort(key=lambda data: data["time"])
     return parsed
 
--- a/packages/guavalane-cli/tests/test_explain.py
+++ b/packages/guavalane-cli/tests/test_explain.py
@@ -43,9 +43,13 @@
         assert explain("q-1", shuffled) == explain("q-1", LINES)
 
     def test_lines_that_are_no_json_are_passed_over(self):
-        noise = ["", "text", "{", "[1]", '{"event": 1}', "{}"]
+        noise = ["", "text", "{", "[1]", '{"event": 1}', '{"node": 1}']
         assert explain("q-1", noise + LINES) == explain("q-1", LINES)
 
+    def test_half_a_line_does_not_hide_the_next(self):
+        torn = [LINES[0][:20] + LINES[0], *LINES[1:]]
+        assert explain("q-1", torn) == explain("q-1", LINES)
+
     def test_a_restart_ends_what_the_process_believed(self):
         restarted = [*LINES[:5], line(5.0, "n1", "node.started"), *LINES[5:]]
         text = explain("q-1", restarted)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
@@ -76,6 +76,7 @@
           None if it was not.
       first_event_s: Time from the request to the first event of its stream.
       longest_gap_s: Longest pause between two reads of its stream.
+      last_status: Status of the last endpoint's answer; None without one.
       last_failure: Endpoint's own failure, whole, to be passed on at the end.
     """
 
@@ -87,6 +88,7 @@
     counted_s: float | None = None
     first_event_s: float | None = None
     longest_gap_s: float = 0.0
+    last_status: int | None = None
     last_failure: tuple[int, list[tuple[str, str]], bytes] | None = None
 
 
@@ -253,6 +255,7 @@
             self._request.request_id,
             endpoint=endpoint.endpoint_id,
             outcome=outcome.value,
+            status=self._progress.last_status,
             decision=decision.value,
             possibly_run=self._progress.possibly_run,
             repeats=budget.repeats,
@@ -274,6 +277,7 @@
             left_s=round(self._time_left(), 3),
         )
         progress.tried.add(endpoint.endpoint_id)
+        progress.last_status = None
         now_s = self._now()
         view.ejector.on_chosen(endpoint.endpoint_id, now_s)
         prefill_tokens = self._prefill_tokens(endpoint, now_s)
@@ -367,6 +371,7 @@
         self, endpoint: Endpoint, answer: EndpointAnswer, work: Work
     ) -> AttemptOutcome:
         names = self._codec.names
+        self._progress.last_status = answer.status
         if answer.header(names.not_run) is not None or (
             answer.status == MISDIRECTED
         ):
@@ -523,6 +528,7 @@
             configuration=admitted.version,
             endpoints=sorted(progress.tried),
             arrivals=progress.arrivals,
+            status=progress.last_status,
             elapsed_s=round(elapsed_s, 3),
             **timing,
         )
