Bound the reports that a node takes, and let a restart keep the duties

A later process of the stored holder takes the lease at once: one process runs on a VM, so the earlier one has ended.

--- a/packages/guavalane-core/src/guavalane_core/leases/holder.py
+++ b/packages/guavalane-core/src/guavalane_core/leases/holder.py
@@ -79,6 +79,9 @@
       duration_s: Duration of the lease, in seconds.
       takeover_delay_s: Time for which a released lease stays free. It keeps
           two holders from acting in turn within this time.
+      restarts_take_over: Whether a later incarnation of the stored holder takes
+          the lease at once. Only for nodes of which one process runs at a
+          time, so that the earlier one has ended.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         incarnation: int,
         duration_s: float = DEFAULT_DURATION_S,
         takeover_delay_s: float = 0.0,
+        restarts_take_over: bool = False,
     ) -> None:
         self._api = api
         self._writer = ConditionalWriter(api)
@@ -100,6 +104,7 @@
         self._identity = f"{holder}-{secrets.token_hex(IDENTITY_BYTES)}"
         self._duration_s = duration_s
         self._takeover_delay_s = takeover_delay_s
+        self._restarts_take_over = restarts_take_over
         self._lock = asyncio.Lock()
         self._stored: StoredObject | None = None
         self._acts_until = 0.0
@@ -271,12 +276,23 @@
             return await self._take(
                 stored, lease.fencing_number, sent_at, offset
             )
-        if not self._expired(stored, lease, sent_at):
+        if not self._is_free(stored, lease, sent_at):
             return False
         return await self._take(
             stored, lease.fencing_number + 1, sent_at, offset
         )
 
+    def _is_free(
+        self, stored: StoredObject, lease: Lease, sent_at: float
+    ) -> bool:
+        earlier_self = (
+            self._restarts_take_over
+            and not lease.released
+            and lease.holder == self._holder
+            and lease.incarnation < self._incarnation
+        )
+        return earlier_self or self._expired(stored, lease, sent_at)
+
     def _expired(
         self, stored: StoredObject, lease: Lease, sent_at: float
     ) -> bool:
--- a/packages/guavalane-core/src/guavalane_core/placement/work.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/work.py
@@ -4,9 +4,6 @@
 
 import attrs
 
-# Reports older than this time, in seconds, describe work that has ended.
-REPORT_LIFE_S = 2.0
-
 
 @attrs.frozen
 class Load:
@@ -43,7 +40,7 @@
 
 @attrs.frozen
 class _Report:
-    received_s: float
+    valid_until_s: float
     loads: dict[str, Load]
 
 
@@ -80,14 +77,22 @@
         """Returns the work of this node by endpoint."""
         return {endpoint_id: self.own(endpoint_id) for endpoint_id in self._own}
 
-    def report(self, node: str, loads: dict[str, Load], now_s: float) -> None:
-        """Replaces the reported work of another node."""
-        self._reports[node] = _Report(now_s, loads)
+    def report(
+        self, node: str, loads: dict[str, Load], valid_until_s: float
+    ) -> None:
+        """Replaces the reported work of another node.
+
+        Args:
+          node: Name of the node.
+          loads: Its work by endpoint.
+          valid_until_s: Time after which the work is taken as ended.
+        """
+        self._reports[node] = _Report(valid_until_s, loads)
 
     def total(self, endpoint_id: str, now_s: float) -> Load:
         """Returns the work of all nodes at an endpoint."""
         load = self.own(endpoint_id)
         for report in self._reports.values():
-            if now_s - report.received_s <= REPORT_LIFE_S:
+            if now_s <= report.valid_until_s:
                 load += report.loads.get(endpoint_id, Load())
         return load
--- a/packages/guavalane-core/src/guavalane_core/usage/counts.py
+++ b/packages/guavalane-core/src/guavalane_core/usage/counts.py
@@ -10,6 +10,8 @@
 # Windows that are kept. A report is due two windows after the end of its own,
 # and a new holder of the duty may come later.
 KEPT_WINDOWS = 8
+# Windows that are told to other nodes; older ones have been told often.
+TOLD_WINDOWS = 3
 
 
 @attrs.frozen
@@ -64,10 +66,12 @@
         if self._own[key] > 0:
             self._own[key] -= 1
 
-    def own(self) -> Iterator[WindowCount]:
-        """Yields the counts of this process."""
+    def recent(self) -> Iterator[WindowCount]:
+        """Yields the counts of this process for the newest windows."""
+        newest = max((window for window, _ in self._own), default=0)
         for (window, organisation), requests in self._own.items():
-            yield WindowCount(window, organisation, requests)
+            if window > newest - TOLD_WINDOWS:
+                yield WindowCount(window, organisation, requests)
 
     def report(
         self, node: str, incarnation: int, counts: Iterable[WindowCount]
--- a/packages/guavalane-core/tests/test_leases.py
+++ b/packages/guavalane-core/tests/test_leases.py
@@ -338,3 +338,37 @@
         timers.advance(0.2)
         assert await second.acquire()
         assert second.fencing_number == number + 1
+
+
+class TestRestart:
+    """Guards against duties that nobody does after a restart."""
+
+    def make(self, api, timers, name, incarnation, **kwargs):
+        """Returns a holder."""
+        return LeaseHolder(api, timers, "l", name, incarnation, 6.0, **kwargs)
+
+    async def test_a_later_process_of_the_holder_takes_over(self):
+        timers = ManualTimers()
+        api = MemoryObjectApi()
+        first = self.make(api, timers, "a", 1)
+        assert await first.acquire()
+        number = first.fencing_number
+        again = self.make(api, timers, "a", 2, restarts_take_over=True)
+        assert await again.acquire()
+        assert again.fencing_number == number + 1
+        assert not await first.renew()
+
+    async def test_another_node_waits(self):
+        timers = ManualTimers()
+        api = MemoryObjectApi()
+        assert await self.make(api, timers, "a", 1).acquire()
+        other = self.make(api, timers, "b", 9, restarts_take_over=True)
+        assert not await other.acquire()
+
+    async def test_a_process_with_an_older_number_waits(self):
+        """A clock that was set back gives a lower incarnation."""
+        timers = ManualTimers()
+        api = MemoryObjectApi()
+        assert await self.make(api, timers, "a", 5).acquire()
+        again = self.make(api, timers, "a", 4, restarts_take_over=True)
+        assert not await again.acquire()
--- a/packages/guavalane-core/tests/test_placement.py
+++ b/packages/guavalane-core/tests/test_placement.py
@@ -12,7 +12,7 @@
     rank_engines,
 )
 from guavalane_core.placement.prefixes import LIFE_S, MAX_TOLD
-from guavalane_core.placement.work import REPORT_LIFE_S, Load
+from guavalane_core.placement.work import Load
 from guavalane_standins.forwarding_samples import make_endpoint, make_prompt
 
 ENGINE = Engine(slots=4, kv_tokens=100_000)
@@ -87,7 +87,7 @@
     def test_own_and_reported_work_add_up(self):
         table = WorkTable()
         work = table.start("e-1", 500)
-        table.report("n2", {"e-1": Load(2, 100)}, 0.0)
+        table.report("n2", {"e-1": Load(2, 100)}, 2.0)
         assert table.total("e-1", 0.0) == Load(3, 600)
         table.finish(work)
         table.finish(work)
@@ -95,8 +95,9 @@
 
     def test_the_work_of_a_silent_node_ends(self):
         table = WorkTable()
-        table.report("n2", {"e-1": Load(2, 100)}, 0.0)
-        assert table.total("e-1", REPORT_LIFE_S + 0.1) == Load()
+        table.report("n2", {"e-1": Load(2, 100)}, 2.0)
+        assert table.total("e-1", 2.0) == Load(2, 100)
+        assert table.total("e-1", 2.1) == Load()
 
 
 class TestPrefixDirectory:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
@@ -91,6 +91,7 @@
             incarnation,
             duration_s=DURATION_FACTOR * settings.lease_s,
             takeover_delay_s=settings.lease_s,
+            restarts_take_over=True,
         )
         self._duties: dict[str, Duty] = {}
         self._unclaimed_s = timers.now()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from guavalane_core.exceptions import MessageError
@@ -28,11 +29,21 @@
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.view import NodeView
 
-# Time between two reports, in seconds.
+# Time between two reports of a node among few, in seconds.
 REPORT_PERIOD_S = 0.25
+# Nodes up to which that period holds. With more it grows in proportion, so
+# that a node takes 64 reports a second at most.
+NODES_AT_PERIOD = 16
 JITTER = 0.2
-# A node that was not heard for this time, in seconds, is taken as silent.
+# A node is taken as silent after this time, in seconds, or after this many
+# periods if they take longer.
 SILENT_S = 2.0
+SILENT_PERIODS = 4
+
+
+def report_period_s(nodes: int) -> float:
+    """Returns the time between two reports among a number of nodes."""
+    return REPORT_PERIOD_S * max(1.0, nodes / NODES_AT_PERIOD)
 
 
 class _Receiver(asyncio.DatagramProtocol):
@@ -89,9 +100,19 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(self), (address.host, address.port)
         )
-        self._timers.call_every(
-            REPORT_PERIOD_S, self.send, jitter=JITTER, rng=self._view.rng
-        )
+        self._schedule()
+
+    def _schedule(self) -> None:
+        spread = 1 + JITTER * (2 * self._view.rng.random() - 1)
+        period_s = report_period_s(self._view.node_count)
+        self._timers.call_later(period_s * spread, self._send_and_schedule)
+
+    def _send_and_schedule(self) -> None:
+        if self._transport is None:
+            return
+        # Scheduled first, so that a failing report keeps its timer.
+        self._schedule()
+        self.send()
 
     def stop(self) -> None:
         """Sends a last report and closes the socket."""
@@ -103,12 +124,17 @@
     def live_peers(self) -> list[str]:
         """Returns the nodes that were heard lately."""
         now_s = self._timers.now()
+        silent_s = self._silent_s()
         return [
             node
             for node, heard_s in self._heard.items()
-            if now_s - heard_s <= SILENT_S
+            if now_s - heard_s <= silent_s
         ]
 
+    def _silent_s(self) -> float:
+        period_s = report_period_s(self._view.node_count)
+        return max(SILENT_S, SILENT_PERIODS * period_s)
+
     def heard_holder(self) -> str | None:
         """Returns the live node that says that it holds the duties."""
         for node in self.live_peers():
@@ -167,7 +193,7 @@
                     organisation=count.organisation,
                     requests=count.requests,
                 )
-                for count in view.usage.own()
+                for count in view.usage.recent()
             ),
             demand=tuple(
                 ServiceDemand(
@@ -210,7 +236,7 @@
         view = self._view
         now_s = self._timers.now()
         node = report.node
-        if now_s - self._heard.get(node, -SILENT_S) > SILENT_S:
+        if now_s - self._heard.get(node, -math.inf) > self._silent_s():
             self._log.event("peer.heard", peer=node)
         self._heard[node] = now_s
         self._holders[node] = report.duties
@@ -219,7 +245,7 @@
             work.endpoint: Load(work.requests, work.prefill_tokens)
             for work in report.work
         }
-        view.work.report(node, loads, now_s)
+        view.work.report(node, loads, now_s + self._silent_s())
         totals = {use.organisation: use.units for use in report.allotments}
         view.allotments.report(node, report.incarnation, totals, now_s)
         view.usage.report(
--- /dev/null
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -0,0 +1,137 @@
+"""Tests of the reports between nodes."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from guavalane_core.forwarding import Organisation
+from guavalane_core.messages import Ping, encode
+from guavalane_core.timers import ManualTimers
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.reports import (
+    REPORT_PERIOD_S,
+    SILENT_S,
+    PeerReports,
+    report_period_s,
+)
+from guavalane_entry.gateway.settings import Address, GatewaySettings
+from guavalane_entry.gateway.view import NodeView
+from guavalane_standins.forwarding_samples import (
+    make_configuration,
+    make_prompt,
+    make_route,
+)
+
+# Largest payload of a datagram that needs no fragments on usual links.
+UNFRAGMENTED_BYTES = 1400
+SENDER = "127.0.0.1:7600"
+
+
+def make_node(timers, name, incarnation=1, duties=0):
+    """Returns the state and the reports of a node."""
+    address = Address("127.0.0.1", 1)
+    settings = GatewaySettings(
+        name=name,
+        zone="zone-a",
+        callers=address,
+        readiness=address,
+        peers=address,
+        metrics=address,
+    )
+    view = NodeView(settings, timers, random.Random(1))
+    organisation = Organisation(
+        "org", frozenset({"k"}), rate_per_s=10.0, burst=100.0
+    )
+    view.offer(make_configuration(make_route(), organisations=(organisation,)))
+    log = DecisionLog(name, timers.wall)
+    return view, PeerReports(view, timers, log, incarnation, lambda: duties)
+
+
+class TestPeerReports:
+    """Guards against nodes that miss what the others do."""
+
+    @pytest.fixture
+    def timers(self):
+        """Manual timers that both nodes share."""
+        return ManualTimers()
+
+    def test_what_one_node_does_the_other_knows(self, timers):
+        view, reports = make_node(timers, "n1", duties=7)
+        other, receiver = make_node(timers, "n2")
+        view.work.start("e-1", 500)
+        view.allotments.try_draw("org", 60, 0.0)
+        view.usage.add("org", 1000.0)
+        view.prefixes.record("e-1", make_prompt(1000), 0.0)
+        view.add_sent("app", 500)
+        receiver.receive(encode(reports.make()), SENDER)
+        load = other.work.total("e-1", 0.0)
+        assert (load.requests, load.prefill_tokens) == (1, 500)
+        assert other.allotments.try_draw("org", 50, 0.0) > 0
+        assert other.usage.total(200) == {"org": 1}
+        assert other.prefixes.cached_tokens("e-1", make_prompt(), 0.0) == 1000
+        assert receiver.heard_holder() == "n1"
+        assert receiver.newest_configuration() == (1, "n1")
+        assert receiver.address_of("n1") == SENDER
+
+    def test_an_older_report_changes_nothing(self, timers):
+        view, reports = make_node(timers, "n1")
+        other, receiver = make_node(timers, "n2")
+        first = encode(reports.make())
+        view.work.start("e-1")
+        second = encode(reports.make())
+        for frame in (second, first, second):
+            receiver.receive(frame, SENDER)
+        assert other.work.total("e-1", 0.0).requests == 1
+
+    def test_a_late_report_of_an_old_process_changes_nothing(self, timers):
+        old_view, old = make_node(timers, "n1", incarnation=1)
+        old_view.work.start("e-1")
+        _, new = make_node(timers, "n1", incarnation=2)
+        other, receiver = make_node(timers, "n2")
+        receiver.receive(encode(new.make()), SENDER)
+        receiver.receive(encode(old.make()), SENDER)
+        assert other.work.total("e-1", 0.0).requests == 0
+
+    def test_a_silent_node_is_not_live(self, timers):
+        view, reports = make_node(timers, "n1", duties=7)
+        view.work.start("e-1")
+        other, receiver = make_node(timers, "n2")
+        receiver.receive(encode(reports.make()), SENDER)
+        timers.advance(SILENT_S + 0.1)
+        assert receiver.live_peers() == []
+        assert receiver.heard_holder() is None
+        assert other.work.total("e-1", timers.now()).requests == 0
+
+    @pytest.mark.parametrize("frame", [b"", b"\xff\x00", b"\x80"])
+    def test_other_datagrams_are_passed_over(self, timers, frame):
+        _, receiver = make_node(timers, "n2")
+        receiver.receive(frame, SENDER)
+        assert receiver.live_peers() == []
+
+    def test_another_message_is_passed_over(self, timers):
+        _, receiver = make_node(timers, "n2")
+        frame = encode(Ping(sequence=1, generation=1, updates=()))
+        receiver.receive(frame, SENDER)
+        assert receiver.live_peers() == []
+
+    def test_a_report_of_today_fits_a_datagram(self, timers):
+        view, reports = make_node(timers, "n1")
+        for i in range(10):
+            for _ in range(5):
+                view.work.start(f"i-{i:010x}", 5000)
+        for window in range(8):
+            for i in range(5):
+                view.usage.add(f"org-{i}", 1000.0 + 5 * window)
+        for i in range(10):
+            view.prefixes.record(
+                f"i-{i:010x}", make_prompt(1000, f"{i:08x}"), 0.0
+            )
+        view.add_sent("app", 500)
+        assert len(encode(reports.make())) <= UNFRAGMENTED_BYTES
+
+    def test_a_node_takes_a_bounded_number_of_reports(self):
+        assert report_period_s(8) == REPORT_PERIOD_S
+        for nodes in (8, 16, 80, 550):
+            assert (nodes - 1) / report_period_s(nodes) <= 64
