--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -31,7 +31,7 @@
 SETTLED_S = 2.0
 # Time beyond the boot time after which an ordered endpoint is not expected any
 # more, in seconds.
-BOOT_SLACK_S = 3.0
+BOOT_SLACK_S = 1.5
 
 
 @attrs.frozen
@@ -126,6 +126,7 @@
           need: Load to carry.
           now_s: Monotonic time in seconds.
         """
+        self._note_reclaims(endpoints, now_s)
         present = self._count(endpoints)
         targets = self._targets(present, need.endpoints(), now_s)
         orders = []
@@ -144,6 +145,20 @@
     def _of(self, zone: str, reclaimable: bool) -> _Placed:
         return self._placed.setdefault((zone, reclaimable), _Placed())
 
+    def _note_reclaims(
+        self, endpoints: Sequence[Endpoint], now_s: float
+    ) -> None:
+        """Takes a reclaim notice for the refusal of the zone's orders.
+
+        The platform takes all reclaimable endpoints of a zone at once, those
+        that are still booting included, and has no others for a while.
+        """
+        for endpoint in endpoints:
+            if endpoint.reclaimable and endpoint.reclaim_s is not None:
+                placed = self._of(endpoint.zone, True)
+                placed.refused_s = now_s
+                placed.count = None
+
     def _count(
         self, endpoints: Sequence[Endpoint]
     ) -> Mapping[tuple[str, bool], int]:
--- a/packages/guavalane-core/src/guavalane_core/forwarding/endpoint.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/endpoint.py
@@ -18,6 +18,8 @@
       slots: Requests that it runs at once.
       leaving: Whether it takes no new requests.
       reclaimable: Whether the platform may take its VM away.
+      reclaim_s: Time until its VM is taken away, in seconds, as told in the
+          notice; None without one.
       slow_s: How much longer it runs slowly after its start, in seconds.
       started_ms: Unix time of its start in milliseconds; 0 if unknown.
     """
@@ -30,5 +32,6 @@
     slots: int
     leaving: bool = False
     reclaimable: bool = False
+    reclaim_s: float | None = None
     slow_s: float = 0.0
     started_ms: int = 0
--- a/packages/guavalane-core/tests/test_replicas.py
+++ b/packages/guavalane-core/tests/test_replicas.py
@@ -4,6 +4,8 @@
 
 import itertools
 
+import attrs
+
 from guavalane_core.fleet.replica_demand import DemandTotals, ReplicaDemand
 from guavalane_core.fleet.replicas import (
     REFUSED_RETRY_S,
@@ -22,6 +24,10 @@
     zone_prices={"zone-a": 1.0, "zone-b": 0.8, "zone-c": 1.2, "zone-d": 0.9},
 )
 RATE = 100_000.0
+# Time from the notice of a reclaim to the reclaim, in seconds.
+NOTICE_S = 2.5
+# Time after which endpoints ordered at the second notice have booted.
+BOOT_CHECK_S = 3.0
 
 
 class FleetModel:
@@ -53,11 +59,20 @@
             e.reclaimable == reclaimable for e in self.endpoints.values()
         )
 
+    def notify(self, zone):
+        """Gives notice to the reclaimable endpoints of a zone."""
+        for name, endpoint in list(self.endpoints.items()):
+            if endpoint.zone == zone and endpoint.reclaimable:
+                self.endpoints[name] = attrs.evolve(
+                    endpoint, leaving=True, reclaim_s=NOTICE_S
+                )
+
     def reclaim(self, zone, dry_s):
         """Takes the reclaimable endpoints of a zone away."""
         for name, endpoint in list(self.endpoints.items()):
             if endpoint.zone == zone and endpoint.reclaimable:
                 del self.endpoints[name]
+        self.booting = [b for b in self.booting if b[1:] != (zone, True)]
         self.dry_until_s = self.now_s + dry_s
 
     def run(self, seconds, read_tokens_per_s):
@@ -148,6 +163,25 @@
         model.run(30, 100_000)
         assert model.count(reclaimable=False) == 0
 
+    def test_an_order_that_a_reclaim_took_is_not_waited_for(self):
+        """A zone is reclaimed while its endpoint boots, then another one."""
+        model = self.start()
+        model.run(20, 100_000)
+        model.reclaim("zone-d", dry_s=0)
+        model.run(REFUSED_RETRY_S + 1, 100_000)
+        model.add("zone-d", reclaimable=True)
+        model.notify("zone-d")
+        model.run(NOTICE_S, 100_000)
+        model.reclaim("zone-d", dry_s=14)
+        model.run(2, 100_000)
+        model.notify("zone-c")
+        model.run(NOTICE_S, 100_000)
+        model.reclaim("zone-c", dry_s=14)
+        # Three endpoints carry this load, and one zone may go any time.
+        assert model.run(BOOT_CHECK_S, 100_000) >= 3
+        model.reclaim("zone-b", dry_s=14)
+        assert model.run(10, 100_000) >= 3
+
     def test_an_order_that_is_under_way_is_not_taken_back(self):
         model = self.start()
         model.run(20, 60_000)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -42,7 +42,9 @@
 
     def test_a_draining_server_is_leaving(self):
         entry = {**ENTRY, "State": "draining", "leaves_ms": 900}
-        assert decode_endpoint(stored(entry)).leaving
+        endpoint = decode_endpoint(stored(entry))
+        assert endpoint.leaving
+        assert endpoint.reclaim_s == 0.9
 
     @pytest.mark.parametrize(
         "changes",
