--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -1,8 +1,8 @@
 """How many endpoints of a service to order in each availability zone.
 
 Reclaimable endpoints cost a part of regular ones, and a zone's are taken away
-together. They are spread over all zones so that those left after the loss of a
-zone carry the load. Reclaims come in waves: while no reclaimable endpoints are
+together. They are spread over all zones so that those left after the loss of
+two zones carry the load. Reclaims come in waves: while no reclaimable endpoints are
 to be had, regular ones also stand in for the loss of one more zone.
 """
 
@@ -19,6 +19,9 @@
 # Part of an engine's reading speed that is planned for. Above it, prompts wait
 # behind each other for longer than the objective of a first token allows.
 READ_UTILISATION = 0.4
+# Zones whose reclaimable endpoints may be lost before others have booted. A
+# wave of reclaims reaches a second zone within the boot time.
+LOST_ZONES = 2
 # Part of the slots that is planned for.
 SLOT_UTILISATION = 0.6
 # Time after a refused order until the zone is asked again, in seconds.
@@ -196,11 +199,10 @@
     def _spread_reclaimable(
         self, present: Mapping[tuple[str, bool], int], needed: int
     ) -> dict[str, int]:
-        """Returns reclaimable endpoints by zone, enough without one zone."""
+        """Returns reclaimable endpoints by zone, enough without some zones."""
         zones = len(self._zones)
-        wanted = needed
-        if zones > 1:
-            wanted = math.ceil(needed * zones / (zones - 1))
+        left = max(1, zones - LOST_ZONES)
+        wanted = math.ceil(needed * zones / left)
         taken = {zone: present.get((zone, False), 0) for zone in self._zones}
         return self._spread(max(wanted, zones), taken)
 
--- a/packages/guavalane-core/tests/test_replicas.py
+++ b/packages/guavalane-core/tests/test_replicas.py
@@ -142,6 +142,14 @@
         # Three endpoints carry this load.
         assert model.run(20, 100_000) >= 3
 
+    def test_the_loss_of_two_zones_at_once_leaves_enough(self):
+        model = self.start()
+        model.run(30, 100_000)
+        model.reclaim("zone-b", dry_s=12)
+        model.reclaim("zone-d", dry_s=12)
+        # Three endpoints carry this load.
+        assert model.run(20, 100_000) >= 3
+
     def test_regular_endpoints_fill_a_gap(self):
         model = self.start()
         model.run(20, 100_000)
