--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -2,8 +2,9 @@
 
 Reclaimable endpoints cost a part of regular ones, and a zone's are taken away
 together. They are spread over all zones so that those left after the loss of
-two zones carry the load. Reclaims come in waves: while no reclaimable endpoints are
-to be had, regular ones also stand in for the loss of one more zone.
+two zones carry the load. Reclaims come in waves: while no reclaimable
+endpoints are to be had, regular ones also stand in for the loss of one more
+zone.
 """
 
 from __future__ import annotations
@@ -200,11 +201,15 @@
         self, present: Mapping[tuple[str, bool], int], needed: int
     ) -> dict[str, int]:
         """Returns reclaimable endpoints by zone, enough without some zones."""
-        zones = len(self._zones)
-        left = max(1, zones - LOST_ZONES)
-        wanted = math.ceil(needed * zones / left)
         taken = {zone: present.get((zone, False), 0) for zone in self._zones}
-        return self._spread(max(wanted, zones), taken)
+        lost_zones = min(LOST_ZONES, len(self._zones) - 1)
+        most = len(self._zones) * self._replicas.maximum
+        for wanted in range(max(needed, len(self._zones)), most):
+            counts = self._spread(wanted, taken)
+            kept = sorted(counts.values(), reverse=True)[lost_zones:]
+            if sum(kept) >= needed:
+                return counts
+        return self._spread(most, taken)
 
     def _spread(self, wanted: int, taken: Mapping[str, int]) -> dict[str, int]:
         """Deals endpoints to zones in turn, the cheapest first."""
