Split the life of a request by subject, and check whom a rejection names

A rejection that names another request was taken for this one's; the request could then have run twice.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -7,6 +7,7 @@
 from guavalane_core.allotments.ledger import units_of
 from guavalane_core.forwarding import (
     CallerRequest,
+    Delivery,
     Organisation,
     Route,
     Service,
@@ -48,6 +49,11 @@
     units: int
     version: int
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.route.delivery is Delivery.STREAM
+
     @property
     def urgency(self) -> int:
         """Rank of the request; 0 is first."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Protocol
 
+import attrs
 from loguru import logger as log
 
 from guavalane_core.exceptions import GuavalaneError, LeaseLostError
@@ -40,23 +41,21 @@
         """
 
 
+@attrs.frozen(eq=False)
 class DutyContext:
     """What duties work with.
 
-    Args:
+    Attributes:
       view: State of the node.
       api: Object API.
       cloud: Calls of the platform.
       log: Log of decisions.
     """
 
-    def __init__(
-        self, view: NodeView, api: ObjectApi, cloud: Cloud, log: DecisionLog
-    ) -> None:
-        self.view = view
-        self.api = api
-        self.cloud = cloud
-        self.log = log
+    view: NodeView
+    api: ObjectApi
+    cloud: Cloud
+    log: DecisionLog
 
 
 DUTIES: Registry[type[Duty]] = Registry("duty")
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -0,0 +1,312 @@
+"""One caller's request from admission to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from guavalane_core.exceptions import RequestError
+from guavalane_core.forwarding import (
+    AttemptOutcome,
+    CallerRequest,
+    Decision,
+    Endpoint,
+    decide_next,
+)
+from guavalane_core.placement import Candidate, Work
+from guavalane_entry.gateway.admission import (
+    UNREADY_RETRY_S,
+    Admitted,
+    give_back,
+    spread,
+)
+from guavalane_entry.gateway.answers import AnswerPasser
+from guavalane_entry.gateway.channels import BrokenAnswerError, NotSentError
+from guavalane_entry.gateway.errors import (
+    AnswerTimeoutError,
+    NoEndpointError,
+    OutcomeUnknownError,
+)
+from guavalane_entry.gateway.parts import GatewayParts
+from guavalane_entry.gateway.problems import refuse
+from guavalane_entry.gateway.progress import Progress
+from guavalane_entry.gateway.reply import Reply
+from guavalane_entry.gateway.selection import select_endpoint
+
+# Attempts at one request, those that never arrived included.
+MAX_ATTEMPTS = 4
+# Taken off the time that an endpoint is given, in seconds, so that its own
+# answer at the end of that time still reaches the caller.
+RETURN_TIME_S = 0.02
+# Least time left for another attempt, in seconds.
+MIN_ATTEMPT_S = 0.05
+# Lowest urgency that engines know.
+MAX_URGENCY = 9
+
+
+class Exchange:
+    """One admitted request.
+
+    Args:
+      parts: Parts of the node.
+      request: Request.
+      admitted: What the request is allowed.
+      reply: Answer to the caller.
+    """
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        request: CallerRequest,
+        admitted: Admitted,
+        reply: Reply,
+    ) -> None:
+        self._parts = parts
+        self._view = parts.view
+        self._request = request
+        self._admitted = admitted
+        self._reply = reply
+        self._progress = Progress(last_event_id=request.resume_after)
+        route = admitted.route
+        limit_s = route.timeout_s
+        if request.time_limit_s is not None:
+            limit_s = min(limit_s, request.time_limit_s)
+        self._deadline_s = request.arrived_s + limit_s
+        self._passer = AnswerPasser(
+            parts,
+            request,
+            admitted,
+            reply,
+            self._progress,
+            self._deadline_s,
+            self._count_run,
+        )
+
+    async def run(self) -> None:
+        """Makes attempts until the request is answered or given up."""
+        self._view.retries(self._admitted.service.name).on_request(self._now())
+        outcome = AttemptOutcome.NOT_SENT
+        try:
+            async with asyncio.timeout(max(0.0, self._time_left())):
+                outcome = await self._attempt_until_final()
+        except TimeoutError:
+            outcome = AttemptOutcome.TIMED_OUT
+        except ConnectionError:
+            # The caller's connection broke while the answer was written.
+            self._log_end("request.abandoned")
+            self._reply.abort()
+            return
+        except asyncio.CancelledError:
+            self._log_end("request.abandoned")
+            raise
+        finally:
+            if not self._progress.possibly_run:
+                give_back(self._view, self._admitted)
+        if outcome is AttemptOutcome.ANSWERED:
+            self._log_end("request.answered")
+            return
+        await self._end_without_answer(outcome)
+
+    def _now(self) -> float:
+        return self._view.timers.now()
+
+    def _time_left(self) -> float:
+        return self._deadline_s - self._now()
+
+    async def _attempt_until_final(self) -> AttemptOutcome:
+        for _ in range(MAX_ATTEMPTS):
+            candidate = self._next_candidate()
+            if candidate is None:
+                return AttemptOutcome.NOT_SENT
+            endpoint = candidate.endpoint
+            outcome = await self._attempt(candidate)
+            if outcome is AttemptOutcome.ANSWERED:
+                return outcome
+            if self._decide(outcome, endpoint) is not Decision.TRY_ANOTHER:
+                return outcome
+        return outcome
+
+    def _next_candidate(self) -> Candidate | None:
+        return select_endpoint(
+            self._view,
+            self._admitted.service,
+            self._request,
+            self._progress.tried,
+        )
+
+    def _decide(self, outcome: AttemptOutcome, endpoint: Endpoint) -> Decision:
+        view = self._view
+        now_s = self._now()
+        budget = view.retries(self._admitted.service.name)
+        decision = decide_next(
+            outcome,
+            repeatable=self._admitted.route.repeatable,
+            possibly_run=self._progress.possibly_run,
+            runs_left=self._progress.runs < self._admitted.route.max_endpoints,
+            arrivals_left=budget.may_spend(now_s, view.node_count),
+            time_left=self._time_left() > MIN_ATTEMPT_S,
+        )
+        self._parts.metrics.count("attempts_failed", outcome.value)
+        self._parts.log.request(
+            "attempt.failed",
+            self._request.request_id,
+            endpoint=endpoint.endpoint_id,
+            outcome=outcome.value,
+            status=self._progress.last_status,
+            decision=decision.value,
+            possibly_run=self._progress.possibly_run,
+            repeats=budget.repeats,
+            left_s=round(self._time_left(), 3),
+        )
+        return decision
+
+    async def _attempt(self, candidate: Candidate) -> AttemptOutcome:
+        view = self._view
+        progress = self._progress
+        endpoint = candidate.endpoint
+        self._parts.log.request(
+            "attempt.sent",
+            self._request.request_id,
+            endpoint=endpoint.endpoint_id,
+            requests=candidate.load.requests,
+            prefill_tokens=candidate.load.prefill_tokens,
+            cached_tokens=candidate.cached_tokens,
+            left_s=round(self._time_left(), 3),
+        )
+        progress.tried.add(endpoint.endpoint_id)
+        progress.last_status = None
+        now_s = self._now()
+        view.ejector.on_chosen(endpoint.endpoint_id, now_s)
+        prefill_tokens = self._prefill_tokens(endpoint, now_s)
+        work = view.work.start(endpoint.endpoint_id, prefill_tokens)
+        view.add_sent(self._admitted.service.name, prefill_tokens)
+        if progress.arrivals:
+            view.retries(self._admitted.service.name).spend(now_s)
+        if not self._admitted.is_stream:
+            # A plain service begins at once; an engine with its first token.
+            self._count_run()
+        try:
+            outcome = await self._send(endpoint, work)
+        except NotSentError:
+            self._uncount_run()
+            view.ejector.on_unreachable(endpoint.endpoint_id, self._now())
+            return AttemptOutcome.NOT_SENT
+        except BrokenAnswerError as error:
+            view.ejector.on_failure(endpoint.endpoint_id, self._now())
+            self._parts.log.request(
+                "attempt.broken",
+                self._request.request_id,
+                endpoint=endpoint.endpoint_id,
+                reason=str(error),
+            )
+            outcome = AttemptOutcome.BROKEN
+        except BaseException:
+            # The time ended or the caller left; the request was sent.
+            progress.possibly_run = True
+            raise
+        finally:
+            view.work.finish(work)
+        progress.arrivals += 1
+        if outcome is AttemptOutcome.REJECTED:
+            self._uncount_run()
+        else:
+            progress.possibly_run = True
+            progress.runs += 1
+        return outcome
+
+    def _prefill_tokens(self, endpoint: Endpoint, now_s: float) -> int:
+        prompt = self._request.prompt
+        if prompt is None:
+            return 0
+        cached = self._view.prefixes.cached_tokens(
+            endpoint.endpoint_id, prompt, now_s
+        )
+        self._view.prefixes.record(endpoint.endpoint_id, prompt, now_s)
+        return prompt.input_tokens - cached
+
+    def _count_run(self) -> None:
+        organisation = self._admitted.organisation
+        if organisation is None or self._progress.counted_s is not None:
+            return
+        self._progress.counted_s = self._view.clock.now()
+        self._view.usage.add(organisation.name, self._progress.counted_s)
+
+    def _uncount_run(self) -> None:
+        counted_s = self._progress.counted_s
+        if counted_s is None or self._progress.possibly_run:
+            return
+        self._progress.counted_s = None
+        self._view.usage.remove(self._admitted.organisation.name, counted_s)
+
+    async def _send(self, endpoint: Endpoint, work: Work) -> AttemptOutcome:
+        admitted = self._admitted
+        organisation = admitted.organisation
+        has_engine = admitted.service.engine is not None
+        headers = self._parts.codec.endpoint_headers(
+            self._request,
+            endpoint_id=endpoint.endpoint_id,
+            organisation=None if organisation is None else organisation.name,
+            time_left_s=self._time_left() - RETURN_TIME_S,
+            urgency=min(MAX_URGENCY, admitted.urgency) if has_engine else None,
+            resume_after=self._progress.last_event_id,
+        )
+        async with self._parts.channels.send(
+            endpoint,
+            self._request.method,
+            self._request.target,
+            headers,
+            self._request.body,
+            repeatable=admitted.route.repeatable,
+        ) as answer:
+            return await self._passer.take(endpoint, answer, work)
+
+    async def _end_without_answer(self, outcome: AttemptOutcome) -> None:
+        progress = self._progress
+        if self._reply.begun:
+            self._reply.abort()
+            self._log_end("request.broken")
+            return
+        if outcome is AttemptOutcome.FAILED and progress.last_failure:
+            status, headers, body = progress.last_failure
+            await self._reply.send_whole(status, headers, body)
+            self._log_end("request.failed")
+            return
+        error = self._error_of(outcome)
+        await refuse(self._parts, self._request, self._reply, error)
+
+    def _error_of(self, outcome: AttemptOutcome) -> RequestError:
+        if not self._progress.possibly_run:
+            return NoEndpointError(
+                f"no endpoint of {self._admitted.service.name} took the"
+                f" request ({outcome.value})",
+                spread(self._view, UNREADY_RETRY_S),
+            )
+        if outcome is AttemptOutcome.TIMED_OUT:
+            return AnswerTimeoutError("the time for the request has ended")
+        return OutcomeUnknownError(f"the attempt ended as {outcome.value}")
+
+    def _log_end(self, event: str) -> None:
+        admitted = self._admitted
+        progress = self._progress
+        route = admitted.route
+        elapsed_s = self._now() - self._request.arrived_s
+        metrics = self._parts.metrics
+        metrics.count("requests", event.partition(".")[2])
+        metrics.record("request", route.name, elapsed_s)
+        timing: dict[str, float] = {}
+        if progress.first_event_s is not None:
+            timing["first_event_s"] = round(progress.first_event_s, 3)
+            timing["longest_gap_s"] = round(progress.longest_gap_s, 3)
+            metrics.record("longest_gap", route.name, progress.longest_gap_s)
+        self._parts.log.request(
+            event,
+            self._request.request_id,
+            route=route.name,
+            delivery=route.delivery.value,
+            objective_s=route.latency_objective_s,
+            configuration=admitted.version,
+            endpoints=sorted(progress.tried),
+            arrivals=progress.arrivals,
+            status=progress.last_status,
+            elapsed_s=round(elapsed_s, 3),
+            **timing,
+        )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -16,7 +16,7 @@
     HeaderTooLargeError,
     RefusalError,
 )
-from guavalane_entry.gateway.forwarder import problem_of
+from guavalane_entry.gateway.problems import problem_of
 from guavalane_entry.gateway.settings import Address
 
 # Connections that wait to be accepted; all callers may come at once after a
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -26,6 +26,7 @@
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.parts import GatewayParts
 from guavalane_entry.gateway.reports import PeerReports
 from guavalane_entry.gateway.settings import GatewaySettings
 from guavalane_entry.gateway.sinks import (
@@ -94,7 +95,9 @@
         self._channels = EndpointChannels()
         codec = RequestCodec(names)
         forwarder = Forwarder(
-            self._view, self._channels, codec, self._log, self._metrics
+            GatewayParts(
+                self._view, self._channels, codec, self._log, self._metrics
+            )
         )
         self._callers = CallerListener(
             settings.callers, codec, timers, self._limits, forwarder.forward
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/parts.py
@@ -0,0 +1,30 @@
+"""Parts of a node that the life of a request uses."""
+
+from __future__ import annotations
+
+import attrs
+
+from guavalane_entry.gateway.channels import EndpointChannels
+from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.view import NodeView
+from guavalane_entry.metrics import Metrics
+
+
+@attrs.frozen(eq=False)
+class GatewayParts:
+    """Parts of a node.
+
+    Attributes:
+      view: What the node believes.
+      channels: Connections to endpoints.
+      codec: Translation of headers.
+      log: Log of decisions.
+      metrics: Metrics of the node.
+    """
+
+    view: NodeView
+    channels: EndpointChannels
+    codec: RequestCodec
+    log: DecisionLog
+    metrics: Metrics
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/problems.py
@@ -0,0 +1,49 @@
+"""Answers that report an error of the system's own."""
+
+from __future__ import annotations
+
+import json
+
+from guavalane_core.exceptions import RequestError
+from guavalane_core.forwarding import CallerRequest
+from guavalane_entry.gateway.parts import GatewayParts
+from guavalane_entry.gateway.reply import Reply
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+def problem_of(
+    error: RequestError,
+) -> tuple[int, list[tuple[str, str]], bytes]:
+    """Returns the answer that reports an error to a caller."""
+    headers = [("Content-Type", PROBLEM_TYPE)]
+    retry_after_s = getattr(error, "retry_after_s", None)
+    if retry_after_s is not None:
+        headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+    body = {
+        "type": f"urn:guavalane:error:{error.code}",
+        "title": error.code.replace("_", " "),
+        "status": error.status,
+        "code": error.code,
+        "not_run": error.not_run,
+        "detail": str(error),
+    }
+    return error.status, headers, json.dumps(body).encode()
+
+
+async def refuse(
+    parts: GatewayParts,
+    request: CallerRequest,
+    reply: Reply,
+    error: RequestError,
+) -> None:
+    """Answers a request with an error of the system's own."""
+    parts.metrics.count("refusals", error.code)
+    parts.log.request(
+        "request.refused",
+        request.request_id,
+        code=error.code,
+        status=error.status,
+        reason=str(error),
+    )
+    await reply.send_whole(*problem_of(error))
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -43,23 +43,73 @@
         self, settings: GatewaySettings, timers: Timers, rng: random.Random
     ) -> None:
         self._settings = settings
-        self.timers = timers
-        self.rng = rng
-        self.directory = EndpointDirectory()
-        self.work = WorkTable()
-        self.prefixes = PrefixDirectory()
-        self.ejector = OutlierEjector()
-        self.allotments = AllotmentLedger()
+        self._timers = timers
+        self._rng = rng
+        self._directory = EndpointDirectory()
+        self._work = WorkTable()
+        self._prefixes = PrefixDirectory()
+        self._ejector = OutlierEjector()
+        self._allotments = AllotmentLedger()
         self._apply_tolerance()
-        self.clock = TrueClock(timers)
-        self.usage = UsageCounts(settings.usage_window_s)
-        self.peers: dict[str, str] = {}
+        self._clock = TrueClock(timers)
+        self._usage = UsageCounts(settings.usage_window_s)
+        self._peers: dict[str, str] = {}
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
         self._demands: dict[str, ReplicaDemand] = {}
         self._sent: dict[str, DemandTotals] = {}
 
+    @property
+    def timers(self) -> Timers:
+        """Timer service."""
+        return self._timers
+
+    @property
+    def rng(self) -> random.Random:
+        """Source of random choices."""
+        return self._rng
+
+    @property
+    def directory(self) -> EndpointDirectory:
+        """Endpoints that the node knows."""
+        return self._directory
+
+    @property
+    def work(self) -> WorkTable:
+        """Work of all nodes at endpoints."""
+        return self._work
+
+    @property
+    def prefixes(self) -> PrefixDirectory:
+        """Prompt parts that endpoints hold."""
+        return self._prefixes
+
+    @property
+    def ejector(self) -> OutlierEjector:
+        """Endpoints that are held back."""
+        return self._ejector
+
+    @property
+    def allotments(self) -> AllotmentLedger:
+        """Allotments of organisations."""
+        return self._allotments
+
+    @property
+    def clock(self) -> TrueClock:
+        """Estimate of true time."""
+        return self._clock
+
+    @property
+    def usage(self) -> UsageCounts:
+        """Requests that began, by window."""
+        return self._usage
+
+    @property
+    def peers(self) -> dict[str, str]:
+        """Addresses of the other nodes by name."""
+        return self._peers
+
     @property
     def settings(self) -> GatewaySettings:
         """Settings in force."""
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -246,6 +246,23 @@
             async with rig.call() as answer:
                 assert answer.status == 502
 
+    async def test_a_rejection_of_another_request_says_nothing(self):
+        """Taking it for this request's would run the request twice."""
+
+        async def reject_other(exchange):
+            headers = {
+                NAMES.request_id: "q-other",
+                NAMES.not_run: "1",
+            }
+            await exchange.answer(503, headers)
+
+        async with GatewayRig(ONCE) as rig:
+            one = await rig.add_endpoint(reject_other, "e-1")
+            two = await rig.add_endpoint(reject_other, "e-2")
+            async with rig.call() as answer:
+                assert answer.status == 502
+            assert len(one.requests) + len(two.requests) == 1
+
     async def test_an_answer_without_a_proof_is_not_passed_on(self):
         async def answer_bare(exchange):
             headers = {NAMES.request_id: "q-1"}
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -15,6 +15,7 @@
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener
 from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.parts import GatewayParts
 from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.metrics import Metrics
@@ -60,7 +61,9 @@
         self.channels = EndpointChannels()
         codec = RequestCodec(NAMES)
         self.forwarder = Forwarder(
-            self.view, self.channels, codec, self.log, self.metrics
+            GatewayParts(
+                self.view, self.channels, codec, self.log, self.metrics
+            )
         )
         self.listener = CallerListener(
             listen, codec, timers, self._limits, self.forwarder.forward
