--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -202,11 +202,11 @@
     @pytest.fixture
     async def nodes(self):
         """Two watches; the first one's copy is offered over HTTP."""
-        served, turned_away = FakeApi(), FakeApi()
+        served, refused = FakeApi(), FakeApi()
         served.put("a", {"n": 1})
-        turned_away.put("a", {"n": 1})
+        refused.put("a", {"n": 1})
         first, _ = make_watch(served)
-        second, sink = make_watch(turned_away)
+        second, sink = make_watch(refused)
         address = Address("127.0.0.1", free_port())
         listener = StatusListener(
             address,
@@ -227,15 +227,15 @@
         second.start()
         reader.start()
         await asyncio.sleep(0.05)
-        yield served, turned_away, sink, reports
+        yield served, refused, sink, reports
         await reader.stop()
         await first.stop()
         await second.stop()
         await listener.stop()
 
-    async def test_a_node_that_is_turned_away_reads_from_another(self, nodes):
-        served, turned_away, sink, _ = nodes
-        turned_away.fail(ObjectApiUnavailableError("turned away"))
+    async def test_a_node_that_is_refused_reads_from_another(self, nodes):
+        served, refused, sink, _ = nodes
+        refused.fail(ObjectApiUnavailableError("refused"))
         served.put("a", {"n": 2})
         await asyncio.sleep(1.8)
         assert sink.bodies == {"a": {"n": 2}}
@@ -249,9 +249,9 @@
         assert sink.bodies == {"a": {"n": 2}}
 
     async def test_a_node_that_is_lost_itself_offers_no_copy(self, nodes):
-        served, turned_away, sink, _reports = nodes
+        served, refused_callers, sink, _reports = nodes
         served.fail(ObjectApiUnavailableError("down"))
-        turned_away.fail(ObjectApiUnavailableError("down"))
+        refused.fail(ObjectApiUnavailableError("down"))
         await asyncio.sleep(1.8)
         assert sink.bodies == {"a": {"n": 1}}
         assert "merge" not in sink.told
