--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -249,7 +249,7 @@
         assert sink.bodies == {"a": {"n": 2}}
 
     async def test_a_node_that_is_lost_itself_offers_no_copy(self, nodes):
-        served, refused_callers, sink, _reports = nodes
+        served, refused, sink, _ = nodes
         served.fail(ObjectApiUnavailableError("down"))
         refused.fail(ObjectApiUnavailableError("down"))
         await asyncio.sleep(1.8)
