Give no outage grace to a node that another node served

A copy now begins the outage anew, and endpoints that it lacks get their own time to return. The unit test fails on the behaviour of before.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -74,6 +74,27 @@
         for endpoint in listed.values():
             self.put(endpoint)
 
+    def merge(self, endpoints: Iterable[Endpoint], now_s: float) -> None:
+        """Takes the list of another node while the discovery is away.
+
+        The discovery thus serves this node through the other: endpoints that
+        leave later have not expired in an outage. The list may itself come from
+        the time just after one, so endpoints that it lacks get their grace.
+        """
+        listed = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
+        for endpoint_id, known in list(self._endpoints.items()):
+            if endpoint_id in listed:
+                continue
+            if known.leaving:
+                self._discard(endpoint_id)
+            else:
+                grace_end_s = now_s + RETURN_GRACE_S
+                self._lapsed.setdefault(endpoint_id, grace_end_s)
+        for endpoint in listed.values():
+            self.put(endpoint)
+        if self._away_since_s is not None:
+            self._away_since_s = now_s
+
     def put(self, endpoint: Endpoint) -> None:
         """Adds or replaces an endpoint."""
         known = self._endpoints.get(endpoint.endpoint_id)
@@ -99,7 +120,9 @@
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is None:
             return
-        grace_end_s = self._returned_s + RETURN_GRACE_S
+        grace_end_s = self._lapsed.get(
+            endpoint_id, self._returned_s + RETURN_GRACE_S
+        )
         if not endpoint.leaving and now_s < grace_end_s:
             self._lapsed.setdefault(endpoint_id, grace_end_s)
             return
--- a/packages/guavalane-core/tests/forwarding/test_directory.py
+++ b/packages/guavalane-core/tests/forwarding/test_directory.py
@@ -61,3 +61,33 @@
         directory.regain_discovery(49.5)
         directory.remove("e-1", 49.6)
         assert names(directory) == []
+
+    def test_a_node_served_by_another_has_no_outage_of_its_own(self):
+        """Only this node was cut off; what leaves afterwards is gone."""
+        directory = EndpointDirectory()
+        endpoints = [make_endpoint("e-1"), make_endpoint("e-2")]
+        directory.replace_all(endpoints, 0.0)
+        directory.lose_discovery(1.0)
+        for now_s in range(2, 13):
+            directory.merge(endpoints, float(now_s))
+        directory.regain_discovery(13.0)
+        directory.remove("e-1", 14.0)
+        assert names(directory) == ["e-2"]
+
+    def test_entries_that_another_node_lacks_get_time_to_return(self):
+        """The other node has just got the discovery back after an outage."""
+        directory = EndpointDirectory()
+        directory.replace_all([make_endpoint("e-1")], 0.0)
+        directory.lose_discovery(1.0)
+        directory.merge([], 10.0)
+        directory.regain_discovery(10.5)
+        directory.replace_all([], 10.5)
+        assert names(directory) == ["e-1"]
+        assert directory.expire(10.0 + RETURN_GRACE_S) == ["e-1"]
+
+    def test_a_leaving_endpoint_that_another_node_lacks_is_gone(self):
+        directory = EndpointDirectory()
+        directory.put(make_endpoint("e-1", leaving=True))
+        directory.lose_discovery(1.0)
+        directory.merge([], 10.0)
+        assert directory.get("e-1") is None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -87,14 +87,7 @@
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
-        endpoints = [
-            endpoint
-            for stored in objects
-            if (endpoint := self._read(stored)) is not None
-        ]
-        for endpoint in endpoints:
-            self._note(endpoint)
-        self._view.directory.replace_all(endpoints, self._now())
+        self._view.directory.replace_all(self._read_all(objects), self._now())
 
     def merge(self, objects: list[StoredObject]) -> None:
         """Takes the list of another node.
@@ -102,9 +95,8 @@
         An endpoint that left for this node stays gone.
         """
         gone = self._view.directory.recently_gone
-        self.replace_all(
-            [stored for stored in objects if stored.name not in gone]
-        )
+        kept = [stored for stored in objects if stored.name not in gone]
+        self._view.directory.merge(self._read_all(kept), self._now())
 
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
@@ -131,6 +123,16 @@
     def _now(self) -> float:
         return self._view.timers.now()
 
+    def _read_all(self, objects: list[StoredObject]) -> list[Endpoint]:
+        endpoints = [
+            endpoint
+            for stored in objects
+            if (endpoint := self._read(stored)) is not None
+        ]
+        for endpoint in endpoints:
+            self._note(endpoint)
+        return endpoints
+
     def _read(self, stored: StoredObject) -> Endpoint | None:
         try:
             return self._decode(stored)
