Choose the engine that serves most in the test of a leaving one

Cause: the test took the engine that happened to serve one request. The node prefers engines of its own zone, so another engine may get none of thirty: in seven groups of thirty requests at the module's four engines without any fault, an engine of another zone got none in four groups, and 2 of 15 single requests went to one of them. The test now takes the engine that served most of twelve requests; the check itself is unchanged.

The test now reads all descriptors five times, and all but at most three that are closed during a look are checked each time.

--- a/packages/guavalane-entry/tests/test_vm_limits.py
+++ b/packages/guavalane-entry/tests/test_vm_limits.py
@@ -33,6 +33,30 @@
         yield cluster, group.process("entry-a").pid
 
 
+# Times that the descriptors are read.
+LOOKS = 5
+# Descriptors that may be closed during one look: the connections that the node
+# closes then. All others are checked.
+MOST_CLOSED = 3
+
+
+def _describe(link: pathlib.Path) -> tuple[int, str, bool] | None:
+    """Returns number, target and whether a descriptor writes a file.
+
+    It is None for a descriptor that was closed meanwhile.
+    """
+    try:
+        target = os.readlink(link)
+        written = False
+        if stat.S_ISREG(link.stat().st_mode):
+            info = link.parent.with_name("fdinfo") / link.name
+            flags = int(info.read_text().split("flags:")[1].split()[0], 8)
+            written = flags & os.O_ACCMODE != os.O_RDONLY
+    except FileNotFoundError:
+        return None
+    return int(link.name), target, written
+
+
 class TestVmLimits:
     """Guards against libraries that use what the VMs do not allow."""
 
@@ -47,16 +71,19 @@
 
     def test_opens_no_io_uring_and_writes_no_file(self, node):
         _, pid = node
-        for link in pathlib.Path(f"/proc/{pid}/fd").iterdir():
-            target = os.readlink(link)
-            assert "io_uring" not in target
-            if int(link.name) <= 2:
+        # The node opens and closes connections meanwhile; a descriptor that is
+        # closed between two looks at it is seen again if it is reopened.
+        looks = [
+            list(map(_describe, pathlib.Path(f"/proc/{pid}/fd").iterdir()))
+            for _ in range(LOOKS)
+        ]
+        for descriptors in looks:
+            found = [d for d in descriptors if d is not None]
+            assert len(found) >= len(descriptors) - MOST_CLOSED
+            for number, target, written in found:
+                assert "io_uring" not in target
                 # Standard streams belong to whoever starts the process.
-                continue
-            if stat.S_ISREG(link.stat().st_mode):
-                info = pathlib.Path(f"/proc/{pid}/fdinfo/{link.name}")
-                flags = int(info.read_text().split("flags:")[1].split()[0], 8)
-                assert flags & os.O_ACCMODE == os.O_RDONLY, target
+                assert number <= 2 or not written, target
 
     def test_maps_no_shared_memory(self, node):
         _, pid = node
--- a/packages/guavalane-standins/tests/test_stream_faults.py
+++ b/packages/guavalane-standins/tests/test_stream_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import json
 import re
 import signal
@@ -205,15 +206,20 @@
 
     def test_engine_that_says_it_leaves_is_asked_once(self, cluster):
         # Faults before may have ejected engines, and an ejected one is not
-        # asked at all, so the engine is one that serves.
+        # asked at all, so the engine is one that serves. It is the one that
+        # serves most: the node prefers engines of its zone, and another may
+        # get none of the next thirty requests.
         end = time.monotonic() + 15
         state = ""
         while state != "closed":
             assert time.monotonic() < end
-            sock = open_stream(cluster, "who serves")
-            seen = read_until(sock, b":2\n")
-            name = serving(cluster)
-            check_whole(read_all(sock, seen), "who serves")
+            served = collections.Counter()
+            for _ in range(12):
+                sock = open_stream(cluster, "who serves")
+                seen = read_until(sock, b":2\n")
+                served[serving(cluster)] += 1
+                check_whole(read_all(sock, seen), "who serves")
+            name, _ = served.most_common(1)[0]
             state = cluster_view(cluster, name)["state"]
         cluster.behave(name, leaving=True)
         received = len(cluster.seen(name)["requests"])
