Move services to other versions on the operators' platform

Change: nodes follow the orders in the store. While a move runs, an unproved version gets six hundredths of a service's requests, on as few endpoints as get the load of an old one each. Nodes count failed and slow attempts by version and route and tell each other the totals; each judges the sum by the sequential test of the chat path's moves and stops by itself, without the store. The holder of the duties completes a cleared version after 0.7 of the order's time, and rolls back a condemned one at once and one without evidence after 0.85.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
@@ -28,6 +28,7 @@
 )
 from guavalane_core.forwarding.retries import SharedRetryBudget
 from guavalane_core.forwarding.routes import RouteTable
+from guavalane_core.forwarding.version_move import MovePhase, VersionMove
 
 __all__ = [
     "AttemptOutcome",
@@ -40,6 +41,7 @@
     "Engine",
     "EventSplitter",
     "ForwardingConfiguration",
+    "MovePhase",
     "Organisation",
     "Prompt",
     "PromptPart",
@@ -50,5 +52,6 @@
     "ServiceShare",
     "SharedRetryBudget",
     "StreamEvent",
+    "VersionMove",
     "decide_next",
 ]
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -35,6 +35,7 @@
     "MemberList",
     "MemberListRequest",
     "MemberUpdate",
+    "MoveOutcomes",
     "NodeReport",
     "Ping",
     "PingRequest",
@@ -777,6 +778,39 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class MoveOutcomes:
+    """Outcomes of one node's attempts while a service moves to another version.
+
+    Attributes:
+      service: Name of the service.
+      target: Version that the service moves to.
+      route: Name of the route.
+      is_new: Whether the attempts are those of that version.
+      attempts: Attempts that ended.
+      failed: Attempts that failed.
+      slow: Attempts that took longer than three quarters of the old version's.
+    """
+
+    service: str
+    target: str
+    route: str
+    is_new: bool
+    attempts: int
+    failed: int
+    slow: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "service": options.Text(),
+        "target": options.Text(),
+        "route": options.Text(),
+        "is_new": options.Boolean(),
+        "attempts": options.Integer(minimum=0),
+        "failed": options.Integer(minimum=0),
+        "slow": options.Integer(minimum=0),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """Figures that a node tells the others several times a second.
@@ -794,6 +828,7 @@
       usage: Usage of the newest windows.
       demand: Demand by service.
       prefixes: Prompt parts read since the report before.
+      moves: Outcomes while services move to other versions.
     """
 
     node: str
@@ -807,6 +842,7 @@
     usage: tuple[WindowUsage, ...]
     demand: tuple[ServiceDemand, ...]
     prefixes: tuple[PrefixUse, ...]
+    moves: tuple[MoveOutcomes, ...]
 
     TYPE_ID: ClassVar[int] = 50
     OPTIONS: ClassVar[dict[str, options.Option]] = {
@@ -821,4 +857,5 @@
         "usage": options.ListOf(options.Section(WindowUsage)),
         "demand": options.ListOf(options.Section(ServiceDemand)),
         "prefixes": options.ListOf(options.Section(PrefixUse)),
+        "moves": options.ListOf(options.Section(MoveOutcomes)),
     }
--- a/packages/guavalane-core/src/guavalane_core/objects/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/__init__.py
@@ -9,6 +9,7 @@
     ObjectEvent,
     ObjectMetadata,
     PollableObjectApi,
+    StatusApi,
     StoredObject,
 )
 from guavalane_core.objects.budget import (
@@ -29,5 +30,6 @@
     "ObjectMetadata",
     "PollableObjectApi",
     "PriorityObjectApi",
+    "StatusApi",
     "StoredObject",
 ]
--- a/packages/guavalane-core/src/guavalane_core/objects/api.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/api.py
@@ -43,6 +43,8 @@
       body: Content as plain data.
       sequence: See `ObjectMetadata`.
       annotations: See `ObjectMetadata`.
+      status: What was written about the object beside its content; empty if
+          nothing was, or if the object API keeps none.
     """
 
     kind: str
@@ -51,6 +53,7 @@
     body: dict[str, Any]
     sequence: int = 0
     annotations: Mapping[str, str] = attrs.field(factory=dict)
+    status: Mapping[str, Any] = attrs.field(factory=dict)
 
     @property
     def metadata(self) -> ObjectMetadata:
@@ -196,3 +199,17 @@
         Raises:
           WatchGapError: The version is too old; list again.
         """
+
+
+class StatusApi(PollableObjectApi, Protocol):
+    """Object API that keeps a status beside the content of each object."""
+
+    async def update_status(
+        self, kind: str, name: str, status: dict[str, Any], version: str
+    ) -> StoredObject:
+        """Replaces the status of an object if it has this version.
+
+        Raises:
+          ObjectConflictError: The object has another version.
+          ObjectNotFoundError: There is no such object.
+        """
--- /dev/null
+++ b/packages/guavalane-core/tests/moves/test_table.py
@@ -0,0 +1,150 @@
+"""Tests of which endpoints take requests while a service moves."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from guavalane_core.forwarding import MovePhase, VersionMove
+from guavalane_core.moves.table import MoveTable
+from guavalane_standins.forwarding_samples import make_endpoint
+
+# Part of a service's requests that operators let an unproved version get.
+EXPOSURE = 0.1
+LIMIT_S = 12.0
+
+
+def make_move(phase=MovePhase.RUNNING, target="v2"):
+    """Returns a move of the service `app`."""
+    return VersionMove("app", target, LIMIT_S, phase)
+
+
+def versions(endpoints):
+    """Returns the versions of endpoints."""
+    return {endpoint.version for endpoint in endpoints}
+
+
+class TestMoveTable:
+    """Guards against an unproved version that gets too many requests."""
+
+    @pytest.fixture
+    def endpoints(self):
+        """Four endpoints of each version."""
+        return [
+            make_endpoint(f"e-{version}-{n}", version=version)
+            for version in ("v1", "v2")
+            for n in range(4)
+        ]
+
+    @pytest.fixture
+    def table(self):
+        """Table without a move."""
+        return MoveTable(EXPOSURE)
+
+    def test_without_a_move_all_versions_serve(self, table, endpoints):
+        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        assert allowed == endpoints
+
+    def test_an_order_alone_exposes_nobody(self, table, endpoints):
+        table.offer(make_move(MovePhase.ORDERED), 0.0)
+        for draw in (0.0, 0.5, 1.0):
+            allowed = table.allowed("app", endpoints, draw, first=True)
+            assert versions(allowed) == {"v1"}
+
+    def test_a_running_move_stays_below_the_exposure(self, table, endpoints):
+        table.offer(make_move(), 0.0)
+        rng = random.Random(1)
+        new = sum(
+            versions(table.allowed("app", endpoints, rng.random(), first=True))
+            == {"v2"}
+            for _ in range(10_000)
+        )
+        assert 0 < new / 10_000 < EXPOSURE
+
+    def test_repeats_go_to_the_old_version(self, table, endpoints):
+        table.offer(make_move(), 0.0)
+        allowed = table.allowed("app", endpoints, 0.0, first=False)
+        assert versions(allowed) == {"v1"}
+
+    def test_the_new_version_gets_the_load_of_an_old_endpoint(
+        self, table, endpoints
+    ):
+        table.offer(make_move(), 0.0)
+        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        assert len(allowed) == 1
+
+    def test_a_condemned_version_gets_nothing(self, table, endpoints):
+        table.offer(make_move(), 0.0)
+        trial = table.moves["app"].trial
+        for number in range(400):
+            for is_new in (True, False):
+                trial.record("r", is_new=is_new, failed=is_new, elapsed_s=0.1)
+            if number % 20 == 19 and table.judge():
+                break
+        assert table.moves["app"].fault
+        assert table.moves["app"].next_phase(1.0) is MovePhase.ROLLED_BACK
+        new = [e for e in endpoints if e.version == "v2"]
+        for usable in (endpoints, new):
+            allowed = table.allowed("app", usable, 0.0, first=True)
+            assert "v2" not in versions(allowed)
+        # A copy of the order from before the judgement changes nothing.
+        table.offer(make_move(), 2.0)
+        assert table.moves["app"].is_stopped
+
+    def test_a_completed_move_uses_the_new_version_alone(
+        self, table, endpoints
+    ):
+        table.offer(make_move(MovePhase.COMPLETED), 0.0)
+        allowed = table.allowed("app", endpoints, 0.9, first=True)
+        assert versions(allowed) == {"v2"}
+
+    def test_another_order_starts_anew(self, table, endpoints):
+        table.offer(make_move(MovePhase.ROLLED_BACK), 0.0)
+        table.offer(make_move(MovePhase.ORDERED, "v3"), 5.0)
+        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        assert versions(allowed) == {"v1", "v2"}
+        assert table.moves["app"].seen_s == 5.0
+
+    def test_a_withdrawn_order_frees_all_versions(self, table, endpoints):
+        table.offer(make_move(), 0.0)
+        table.withdraw("app")
+        allowed = table.allowed("app", endpoints, 0.5, first=True)
+        assert allowed == endpoints
+
+
+class TestFollowedMove:
+    """Guards against moves that miss their time or end without evidence."""
+
+    def follow(self, attempts):
+        """Returns a running move with good attempts."""
+        table = MoveTable(EXPOSURE)
+        table.offer(make_move(), 0.0)
+        followed = table.moves["app"]
+        for _ in range(attempts):
+            followed.trial.record("r", is_new=True, failed=False, elapsed_s=0.1)
+        return followed
+
+    def test_an_order_is_run_at_once(self):
+        table = MoveTable(EXPOSURE)
+        table.offer(make_move(MovePhase.ORDERED), 0.0)
+        assert table.moves["app"].next_phase(0.0) is MovePhase.RUNNING
+
+    def test_a_good_version_is_completed_within_its_time(self):
+        followed = self.follow(30)
+        assert followed.next_phase(1.0) is None
+        due = [t for t in range(13) if followed.next_phase(t)]
+        assert due[0] < LIMIT_S
+        assert followed.next_phase(due[0]) is MovePhase.COMPLETED
+
+    def test_a_version_without_evidence_is_rolled_back_within_its_time(self):
+        followed = self.follow(3)
+        due = [t for t in range(13) if followed.next_phase(t)]
+        assert due[0] < LIMIT_S
+        assert followed.next_phase(due[0]) is MovePhase.ROLLED_BACK
+
+    def test_an_ended_move_stays_ended(self):
+        for phase in (MovePhase.COMPLETED, MovePhase.ROLLED_BACK):
+            table = MoveTable(EXPOSURE)
+            table.offer(make_move(phase), 0.0)
+            assert table.moves["app"].next_phase(100.0) is None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
@@ -35,7 +35,7 @@
     if not watch.listed or watch.lost:
         return 503, b""
     objects = [
-        [stored.name, stored.version, stored.body]
+        [stored.name, stored.version, stored.body, dict(stored.status)]
         for stored in watch.objects.values()
     ]
     return 200, cbor2.dumps(objects)
@@ -49,8 +49,10 @@
     """
     try:
         return [
-            StoredObject(kind, str(name), str(version), dict(body))
-            for name, version, body in cbor2.loads(data)
+            StoredObject(
+                kind, str(name), str(version), dict(body), status=dict(status)
+            )
+            for name, version, body, status in cbor2.loads(data)
         ]
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise ValueError(f"not a copy: {error}") from error
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
 
 import attrs
 from loguru import logger as log
 
 from guavalane_core.exceptions import GuavalaneError, LeaseLostError
+from guavalane_core.forwarding import MovePhase, VersionMove
 from guavalane_core.leases import LeaseHolder
-from guavalane_core.objects import ObjectApi
+from guavalane_core.objects import StatusApi, StoredObject
 from guavalane_core.registry import Registry
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
@@ -41,6 +43,19 @@
         """
 
 
+@attrs.frozen(eq=False)
+class MoveOrders:
+    """Stored orders of moves.
+
+    Attributes:
+      objects: Objects by name, which is that of the service.
+      encode_status: Function that returns the status of an order in a phase.
+    """
+
+    objects: Mapping[str, StoredObject]
+    encode_status: Callable[[VersionMove, MovePhase], dict[str, Any]]
+
+
 @attrs.frozen(eq=False)
 class DutyContext:
     """What duties work with.
@@ -50,12 +65,14 @@
       api: Object API.
       cloud: Calls of the platform.
       log: Log of decisions.
+      move_orders: Stored orders of moves.
     """
 
     view: NodeView
-    api: ObjectApi
+    api: StatusApi
     cloud: Cloud
     log: DecisionLog
+    move_orders: MoveOrders
 
 
 DUTIES: Registry[type[Duty]] = Registry("duty")
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -174,7 +174,7 @@
         )
         progress.tried.add(endpoint.endpoint_id)
         progress.last_status = None
-        now_s = self._now()
+        began_s = now_s = self._now()
         view.ejector.on_chosen(endpoint.endpoint_id, now_s)
         prefill_tokens = self._prefill_tokens(endpoint, now_s)
         work = view.work.start(endpoint.endpoint_id, prefill_tokens)
@@ -202,6 +202,8 @@
         except BaseException:
             # The time ended or the caller left; the request was sent.
             progress.possibly_run = True
+            if self._time_left() <= 0:
+                self._count_outcome(endpoint, began_s, failed=True)
             raise
         finally:
             view.work.finish(work)
@@ -211,8 +213,31 @@
         else:
             progress.possibly_run = True
             progress.runs += 1
+            self._count_outcome(
+                endpoint,
+                began_s,
+                failed=outcome is not AttemptOutcome.ANSWERED,
+            )
         return outcome
 
+    def _count_outcome(
+        self, endpoint: Endpoint, began_s: float, *, failed: bool
+    ) -> None:
+        """Counts an attempt while its service moves to another version."""
+        moves = self._view.moves
+        followed = moves.running(endpoint.service)
+        if followed is None:
+            return
+        end_s = self._now()
+        if self._progress.first_event_s is not None:
+            end_s = self._request.arrived_s + self._progress.first_event_s
+        followed.trial.record(
+            self._admitted.route.name,
+            is_new=moves.is_new(endpoint),
+            failed=failed,
+            elapsed_s=max(0.0, end_s - began_s),
+        )
+
     def _prefill_tokens(self, endpoint: Endpoint, now_s: float) -> int:
         prompt = self._request.prompt
         if prompt is None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -5,24 +5,35 @@
 import asyncio
 import functools
 import random
+from collections.abc import Callable
+from typing import Any
 
+import attrs
 from loguru import logger as log
 
 from guavalane_core.exceptions import (
     ObjectApiError,
     ObjectConflictError,
 )
-from guavalane_core.forwarding import CallerLimits
-from guavalane_core.objects import PollableObjectApi
+from guavalane_core.forwarding import CallerLimits, MovePhase, VersionMove
+from guavalane_core.objects import StatusApi
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
-from guavalane_entry.gateway import replica_duty, usage_duty  # noqa: F401
+from guavalane_entry.gateway import (  # noqa: F401
+    move_duty,
+    replica_duty,
+    usage_duty,
+)
 from guavalane_entry.gateway.channels import EndpointChannels
 from guavalane_entry.gateway.cloud import Cloud
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.copies import PATH, CopyReader, encode_copy
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.duties import DutyContext, DutyRunner
+from guavalane_entry.gateway.duties import (
+    DutyContext,
+    DutyRunner,
+    MoveOrders,
+)
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
@@ -34,6 +45,8 @@
     ConfigurationSink,
     EndpointDecoder,
     EndpointSink,
+    MoveDecoder,
+    MoveSink,
     PeerSink,
 )
 from guavalane_entry.gateway.view import NodeView
@@ -52,6 +65,21 @@
 REGISTER_DELAY_S = 0.5
 
 
+@attrs.frozen(eq=False)
+class MoveKind:
+    """Kind of objects that order moves.
+
+    Attributes:
+      name: Name of the kind; its objects bear the names of services.
+      decode: Function that reads an order.
+      encode_status: Function that returns the status of an order in a phase.
+    """
+
+    name: str
+    decode: MoveDecoder
+    encode_status: Callable[[VersionMove, MovePhase], dict[str, Any]]
+
+
 class GatewayNode:
     """Builds the parts of a node and runs them.
 
@@ -62,6 +90,7 @@
       cloud: Calls of the platform.
       configuration_kind: Kind of the configuration and its decoder.
       endpoint_kind: Kind of the endpoints' entries and their decoder.
+      move_kind: Kind of the orders to move services to other versions.
       timers: Timer service.
       rng: Source of random choices.
     """
@@ -70,10 +99,11 @@
         self,
         settings: GatewaySettings,
         names: HeaderNames,
-        api: PollableObjectApi,
+        api: StatusApi,
         cloud: Cloud,
         configuration_kind: tuple[str, ConfigurationDecoder],
         endpoint_kind: tuple[str, EndpointDecoder],
+        move_kind: MoveKind,
         timers: Timers,
         rng: random.Random | None = None,
     ) -> None:
@@ -109,7 +139,9 @@
             settings.metrics,
             {"/metrics": lambda: (200, self._metrics.render())},
         )
-        self._watches = self._make_watches(configuration_kind, endpoint_kind)
+        self._watches = self._make_watches(
+            configuration_kind, endpoint_kind, move_kind
+        )
         self._copies = CopyReader(
             self._watches,
             self._reports,
@@ -125,7 +157,10 @@
                 for name, watch in self._watches.items()
             },
         )
-        context = DutyContext(self._view, api, cloud, self._log)
+        orders = MoveOrders(
+            self._watches["moves"].objects, move_kind.encode_status
+        )
+        context = DutyContext(self._view, api, cloud, self._log, orders)
         self._duties = DutyRunner(
             context, self._reports, timers, self._incarnation
         )
@@ -234,6 +269,7 @@
         self,
         configuration_kind: tuple[str, ConfigurationDecoder],
         endpoint_kind: tuple[str, EndpointDecoder],
+        move_kind: MoveKind,
     ) -> dict[str, KindWatch]:
         kinds = {
             "configuration": (
@@ -245,6 +281,10 @@
                 EndpointSink(self._view, endpoint_kind[1], self._log),
             ),
             "nodes": (NODE_KIND, PeerSink(self._view)),
+            "moves": (
+                move_kind.name,
+                MoveSink(self._view, move_kind.decode, self._log),
+            ),
         }
         return {
             name: KindWatch(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -7,7 +7,7 @@
     ReplicaOrder,
     ReplicaPlanner,
 )
-from guavalane_core.forwarding import Replicas, Service
+from guavalane_core.forwarding import Endpoint, Replicas, Service
 from guavalane_core.leases import LeaseHolder
 from guavalane_entry.gateway.cloud import NoneAvailableError
 from guavalane_entry.gateway.duties import DUTIES, DutyContext
@@ -39,12 +39,24 @@
     async def _step_service(self, lease: LeaseHolder, service: Service) -> None:
         view = self._view
         now_s = view.timers.now()
-        endpoints = view.directory.all_of(service.name)
+        endpoints = self._endpoints(service)
         need = self._need(service, now_s)
         planner = self._planner(service, [e.zone for e in endpoints])
         for order in planner.plan(endpoints, need, now_s):
             await self._order(lease, service, planner, order, need)
 
+    def _endpoints(self, service: Service) -> list[Endpoint]:
+        """Returns the endpoints that carry the load.
+
+        Those of a version on trial do not yet; a completed move takes the
+        others away at once.
+        """
+        view = self._view
+        endpoints = view.directory.all_of(service.name)
+        if view.moves.running(service.name) is None:
+            return endpoints
+        return [e for e in endpoints if not view.moves.is_new(e)]
+
     def _need(self, service: Service, now_s: float) -> ReplicaNeed:
         view = self._view
         rates = view.demand(service.name).update(now_s)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from guavalane_core.exceptions import MessageError
 from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
     AllotmentUse,
     EndpointWork,
+    MoveOutcomes,
     NodeReport,
     PrefixUse,
     ServiceDemand,
@@ -22,6 +23,7 @@
     decode,
     encode,
 )
+from guavalane_core.moves.trial import VersionCount
 from guavalane_core.placement.work import Load
 from guavalane_core.timers import Timers
 from guavalane_core.usage.counts import WindowCount
@@ -112,6 +114,7 @@
             return
         # Scheduled first, so that a failing report keeps its timer.
         self._schedule()
+        self._judge_moves()
         self.send()
 
     def stop(self) -> None:
@@ -207,8 +210,25 @@
                 PrefixUse(endpoint=endpoint_id, part=part_id)
                 for endpoint_id, part_id in view.prefixes.take_recent()
             ),
+            moves=tuple(self._move_outcomes()),
         )
 
+    def _move_outcomes(self) -> Iterator[MoveOutcomes]:
+        moves = self._view.moves
+        for service, followed in moves.moves.items():
+            if moves.running(service) is None:
+                continue
+            for count in followed.trial.counts:
+                yield MoveOutcomes(
+                    service=service,
+                    target=followed.move.target,
+                    route=count.route,
+                    is_new=count.is_new,
+                    attempts=count.attempts,
+                    failed=count.failed,
+                    slow=count.slow,
+                )
+
     def receive(self, data: bytes, address: str) -> None:
         """Takes the report of another node.
 
@@ -264,6 +284,36 @@
             )
         for use in report.prefixes:
             view.prefixes.record_part(use.endpoint, use.part, now_s)
+        self._apply_moves(report)
+
+    def _apply_moves(self, report: NodeReport) -> None:
+        counts: dict[tuple[str, str], list[VersionCount]] = {}
+        for told in report.moves:
+            counts.setdefault((told.service, told.target), []).append(
+                VersionCount(
+                    told.route,
+                    told.is_new,
+                    told.attempts,
+                    told.failed,
+                    told.slow,
+                )
+            )
+        moves = self._view.moves
+        for (service, target), of_move in counts.items():
+            followed = moves.running(service)
+            if followed is not None and followed.move.target == target:
+                followed.trial.report(report.node, report.incarnation, of_move)
+        self._judge_moves()
+
+    def _judge_moves(self) -> None:
+        for condemned in self._view.moves.judge():
+            self._log.event(
+                "move.condemned",
+                service=condemned.move.service,
+                target=condemned.move.target,
+                fault=condemned.fault,
+                attempts=condemned.trial.attempts(),
+            )
 
     def _share_allotments(self) -> None:
         known = self._view.node_count
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -24,9 +24,15 @@
       tried: Endpoints that the request was sent to already.
     """
     now_s = view.timers.now()
+    allowed = view.moves.allowed(
+        service.name,
+        view.directory.usable(service.name),
+        view.rng.random(),
+        first=not tried,
+    )
     usable = [
         endpoint
-        for endpoint in view.directory.usable(service.name)
+        for endpoint in allowed
         if endpoint.endpoint_id not in tried
         and _has_connection(view, service, endpoint)
     ]
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -80,6 +80,8 @@
       allotments: Tolerance of allotments.
       usage_window_s: Length of a window of usage in seconds.
       usage_due_s: Time after the end of a window at which its usage is due.
+      exposure: Largest part of a service's requests that a version may get
+          before it has proved good.
       lease_s: Duration of the lease on duties in seconds.
       stop_grace_s: Time from SIGTERM to SIGKILL in seconds.
     """
@@ -95,5 +97,6 @@
     allotments: AllotmentTolerance = AllotmentTolerance()
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
+    exposure: float = 0.1
     lease_s: float = 3.0
     stop_grace_s: float = 8.0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -5,13 +5,18 @@
 from collections.abc import Callable
 
 from guavalane_core.exceptions import ConfigurationError
-from guavalane_core.forwarding import Endpoint, ForwardingConfiguration
+from guavalane_core.forwarding import (
+    Endpoint,
+    ForwardingConfiguration,
+    VersionMove,
+)
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.view import NodeView
 
 ConfigurationDecoder = Callable[[StoredObject], ForwardingConfiguration]
 EndpointDecoder = Callable[[StoredObject], Endpoint]
+MoveDecoder = Callable[[StoredObject], VersionMove]
 
 
 class ConfigurationSink:
@@ -197,3 +202,61 @@
         address = stored.body.get("address")
         if stored.name != self._view.settings.name and address:
             self._view.peers[stored.name] = address
+
+
+class MoveSink:
+    """Keeps the moves of services to other versions.
+
+    Args:
+      view: State to change.
+      decode: Function that reads a stored order; it raises
+          `ConfigurationError` for one that cannot be read.
+      log: Log of decisions.
+    """
+
+    def __init__(
+        self, view: NodeView, decode: MoveDecoder, log: DecisionLog
+    ) -> None:
+        self._view = view
+        self._decode = decode
+        self._log = log
+
+    def replace_all(self, objects: list[StoredObject]) -> None:
+        """Takes a complete list."""
+        listed = {stored.name for stored in objects}
+        for service in set(self._view.moves.moves) - listed:
+            self._view.moves.withdraw(service)
+        for stored in objects:
+            self._take(stored)
+
+    def merge(self, objects: list[StoredObject]) -> None:
+        """Takes the list of another node; an order that it lacks stays."""
+        for stored in objects:
+            self._take(stored)
+
+    def apply(self, event: ObjectEvent) -> None:
+        """Takes one change."""
+        if event.deleted:
+            self._view.moves.withdraw(event.object.name)
+        else:
+            self._take(event.object)
+
+    def lose(self) -> None:
+        """Keeps the moves that are known."""
+
+    def regain(self) -> None:
+        """Keeps the moves that are known."""
+
+    def _take(self, stored: StoredObject) -> None:
+        try:
+            move = self._decode(stored)
+        except ConfigurationError as error:
+            self._log.event("move.ignored", name=stored.name, reason=str(error))
+            return
+        self._view.moves.offer(move, self._view.timers.now())
+        self._log.event(
+            "move.offered",
+            service=move.service,
+            target=move.target,
+            phase=move.phase.value,
+        )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -15,6 +15,7 @@
     RouteTable,
     SharedRetryBudget,
 )
+from guavalane_core.moves.table import MoveTable
 from guavalane_core.placement import EngineRates, PrefixDirectory, WorkTable
 from guavalane_core.routing.ejection import OutlierEjector
 from guavalane_core.timers import Timers
@@ -54,6 +55,7 @@
         self._clock = TrueClock(timers)
         self._usage = UsageCounts(settings.usage_window_s)
         self._peers: dict[str, str] = {}
+        self._moves = MoveTable(settings.exposure)
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
@@ -105,6 +107,11 @@
         """Requests that began, by window."""
         return self._usage
 
+    @property
+    def moves(self) -> MoveTable:
+        """Moves of services to other versions."""
+        return self._moves
+
     @property
     def peers(self) -> dict[str, str]:
         """Addresses of the other nodes by name."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -126,9 +126,13 @@
 
     def take_copy(self, objects: list[StoredObject]) -> None:
         """Takes the objects as another node knows them."""
-        self._objects = {stored.name: stored for stored in objects}
+        self._keep(objects)
         self._sink.merge(objects)
 
+    def _keep(self, objects: list[StoredObject]) -> None:
+        self._objects.clear()
+        self._objects.update((stored.name, stored) for stored in objects)
+
     async def _run(self) -> None:
         while True:
             try:
@@ -144,7 +148,7 @@
         if self._version is None:
             objects, version = await self._api.list(self._kind)
             self._answered()
-            self._objects = {stored.name: stored for stored in objects}
+            self._keep(objects)
             self._sink.replace_all(objects)
             self._version = version
             return
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from guavalane_core.forwarding import Organisation
+from guavalane_core.forwarding import MovePhase, Organisation, VersionMove
 from guavalane_core.messages import Ping, encode
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
@@ -75,6 +75,38 @@
         assert receiver.newest_configuration() == (1, "n1")
         assert receiver.address_of("n1") == SENDER
 
+    def test_nodes_stop_a_bad_version_by_the_sum_of_their_attempts(
+        self, timers
+    ):
+        nodes = [make_node(timers, name) for name in ("n1", "n2")]
+        move = VersionMove("app", "v2", 12.0, MovePhase.RUNNING)
+        for view, _ in nodes:
+            view.moves.offer(move, 0.0)
+        for _ in range(6):
+            for view, _ in nodes:
+                trial = view.moves.running("app").trial
+                for number in range(25):
+                    is_new = number < 2
+                    trial.record(
+                        "r", is_new=is_new, failed=is_new, elapsed_s=0.1
+                    )
+            for (_, sender), (_, receiver) in (nodes, reversed(nodes)):
+                receiver.receive(encode(sender.make()), SENDER)
+        for view, _ in nodes:
+            assert view.moves.moves["app"].is_stopped
+
+    def test_outcomes_of_an_earlier_move_are_passed_over(self, timers):
+        view, sender = make_node(timers, "n1")
+        other, receiver = make_node(timers, "n2")
+        for target, of_view in (("v2", view), ("v3", other)):
+            move = VersionMove("app", target, 12.0, MovePhase.RUNNING)
+            of_view.moves.offer(move, 0.0)
+        view.moves.running("app").trial.record(
+            "r", is_new=True, failed=True, elapsed_s=0.1
+        )
+        receiver.receive(encode(sender.make()), SENDER)
+        assert other.moves.running("app").trial.attempts() == 0
+
     def test_an_older_report_changes_nothing(self, timers):
         view, reports = make_node(timers, "n1")
         other, receiver = make_node(timers, "n2")
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,9 +5,14 @@
 import pytest
 
 from guavalane_core.exceptions import ConfigurationError
-from guavalane_core.forwarding import Delivery
+from guavalane_core.forwarding import Delivery, MovePhase
 from guavalane_core.objects import StoredObject
-from guavalane_platform.decoding import decode_configuration, decode_endpoint
+from guavalane_platform.decoding import (
+    decode_configuration,
+    decode_endpoint,
+    decode_move,
+    encode_move_status,
+)
 from guavalane_platform_standins.deployment import make_config
 
 ENTRY = {
@@ -118,3 +123,39 @@
     def test_another_object_of_the_kind_is_no_configuration(self):
         with pytest.raises(ConfigurationError):
             decode_configuration(stored(make_config(1), "other", "config"))
+
+
+class TestDecodeMove:
+    """Guards against orders of moves that are misread."""
+
+    SPEC = {"Service": "app", "Target": "v2", "StepIntervalS": 12}
+
+    def order(self, spec=None, status=None):
+        """Returns a stored order."""
+        body = {**self.SPEC, **(spec or {})}
+        return StoredObject("rollouts", "app", "1", body, status=status or {})
+
+    def test_an_order_without_a_status_is_new(self):
+        move = decode_move(self.order())
+        assert (move.service, move.target) == ("app", "v2")
+        assert move.time_limit_s == 12.0
+        assert move.phase is MovePhase.ORDERED
+
+    @pytest.mark.parametrize(
+        "phase", [p for p in MovePhase if p is not MovePhase.ORDERED]
+    )
+    def test_a_written_phase_is_read_back(self, phase):
+        status = encode_move_status(decode_move(self.order()), phase)
+        assert decode_move(self.order(status=status)).phase is phase
+
+    def test_the_status_of_an_earlier_order_does_not_count(self):
+        status = {"State": "completed", "Target": "v1"}
+        move = decode_move(self.order(status=status))
+        assert move.phase is MovePhase.ORDERED
+
+    @pytest.mark.parametrize(
+        "spec", [{"Target": 2}, {"StepIntervalS": "12"}, {"Service": None}]
+    )
+    def test_an_order_of_another_form_is_refused(self, spec):
+        with pytest.raises(ConfigurationError):
+            decode_move(self.order(spec=spec))
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -216,3 +216,71 @@
         assert result.returncode == 2
         assert "settings: Zone" in result.stderr
         assert "settings: Listen" in result.stderr
+
+
+class TestVersionMoves:
+    """Guards against moves that expose a bad version or miss their time."""
+
+    # Time that an order gives, and rate of requests per second.
+    LIMIT_S = 6.0
+    RATE = 60
+
+    async def move(self, deployment, failing):
+        """Orders a move of `app` and sends requests until it has ended.
+
+        Returns:
+          Status of the order and the statuses of the answers.
+        """
+        for number in range(3):
+            await deployment.add_endpoint(f"i-old-{number}", "app")
+        target = await deployment.add_endpoint("i-new", "app", version="v2")
+        target.failing = failing
+        order = {
+            "Service": "app",
+            "Target": "v2",
+            "StepIntervalS": self.LIMIT_S,
+        }
+        deployment.store.put("rollouts", "app", order)
+        await asyncio.sleep(0.3)
+        calls = []
+        began_s = time.monotonic()
+        while True:
+            status = deployment.store.status("rollouts", "app")
+            if status is not None and status["State"] != "running":
+                break
+            assert time.monotonic() - began_s < self.LIMIT_S
+            node = deployment.nodes[len(calls) % len(deployment.nodes)]
+            call = deployment.call(node, "/look/x", method="GET")
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(1 / self.RATE)
+        answers = [status for status, _ in await asyncio.gather(*calls)]
+        return target, status, answers
+
+    async def test_a_bad_version_is_rolled_back(self):
+        async with Deployment(2) as deployment:
+            target, status, answers = await self.move(deployment, True)
+            assert status == {"State": "rolled_back", "Target": "v2"}
+            # The operators' limit on the exposure: a tenth, and 50.
+            assert 0 < len(target.runs) <= 0.1 * len(answers) + 50
+            logs = [node.read_output() for node in deployment.nodes]
+            assert any("move.condemned" in log for log in logs)
+            # A failed lookup is repeated at the old version.
+            assert set(answers) == {200}
+            await asyncio.sleep(0.5)
+            before = len(target.runs)
+            for number in range(60):
+                node = deployment.nodes[number % 2]
+                await deployment.call(node, "/look/x", method="GET")
+            assert len(target.runs) == before
+
+    async def test_a_good_version_is_completed(self):
+        async with Deployment(2) as deployment:
+            target, status, answers = await self.move(deployment, False)
+            assert status == {"State": "completed", "Target": "v2"}
+            assert set(answers) == {200}
+            await asyncio.sleep(0.5)
+            before = len(target.runs)
+            for number in range(10):
+                node = deployment.nodes[number % 2]
+                await deployment.call(node, "/look/x", method="GET")
+            assert len(target.runs) == before + 10
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -50,6 +50,19 @@
         with pytest.raises(ObjectNotFoundError):
             await client.get("things", "a")
 
+    async def test_a_status_stands_beside_the_content(self, store):
+        _, client = store
+        created = await client.create("things", "a", {"n": 1})
+        written = await client.update_status(
+            "things", "a", {"State": "running"}, created.version
+        )
+        found = await client.get("things", "a")
+        assert found == written
+        assert found.body == {"n": 1}
+        assert found.status == {"State": "running"}
+        with pytest.raises(ObjectConflictError):
+            await client.update_status("things", "a", {}, created.version)
+
     async def test_a_list_spans_pages(self, store):
         server, client = store
         server.faults.page_size = 2
