End a connection whose header takes longer than the configured time

Cause: the configuration's limit on the time of a header was decoded and not applied, so a caller that sends a header byte by byte kept its connection for ever. Change: the listener looks four times a second for headers that are older than the limit and answers 408, which is true, since nothing was read.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
 
 from aiohttp import web
 from loguru import logger as log
 
 from guavalane_core.forwarding import CallerLimits, CallerRequest
-from guavalane_core.timers import Timers
+from guavalane_core.timers import Subscription, Timers
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.errors import (
     BodyTooLargeError,
@@ -28,6 +29,13 @@
 # Time to read the rest of a body after an early answer, in seconds.
 LINGERING_S = 2.0
 MAX_LINE_BYTES = 65_536
+# Time between two looks for headers that take too long, in seconds.
+HEADER_PERIOD_S = 0.25
+# Answer to a header that took too long. The request has not been read.
+HEADER_TIMEOUT_ANSWER = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 # Time for connections to close at a stop, in seconds. The library takes 0 for
 # no limit.
 CLOSE_TIMEOUT_S = 0.1
@@ -125,15 +133,47 @@
 
     The library starts a handler only after the step in which it read the
     request, so a stop in between would take the connection for idle.
+
+    Args:
+      timers: Timer service.
+      arguments: Arguments of the HTTP library.
     """
 
-    busy = False
+    def __init__(self, timers: Timers, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        self._timers = timers
+        self._header_since_s: float | None = None
+        self.busy = False
+
+    @property
+    def header_age_s(self) -> float:
+        """Time since the first byte of a header that is not whole yet."""
+        if self._header_since_s is None:
+            return 0.0
+        return self._timers.now() - self._header_since_s
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of a caller."""
-        self.busy = True
+        if not self.busy:
+            self.busy = True
+            self._header_since_s = self._timers.now()
         super().data_received(data)
 
+    def begin_request(self) -> None:
+        """Notes that the header of a request was read."""
+        self._header_since_s = None
+
+    def end_request(self) -> None:
+        """Notes that a request was answered."""
+        self.busy = False
+
+    def refuse_header(self) -> None:
+        """Ends the connection, as its header takes too long."""
+        self._header_since_s = None
+        if self.transport is not None:
+            self.transport.write(HEADER_TIMEOUT_ANSWER)
+        self.force_close()
+
 
 class _LimitedServer(web.Server):
     """Server whose connections get the limits in force when they open."""
@@ -142,13 +182,16 @@
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         limits: Callable[[], CallerLimits],
+        timers: Timers,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
+        self._timers = timers
 
     def __call__(self) -> _CallerConnection:
         limits = self._limits()
         return _CallerConnection(
+            self._timers,
             self,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_s * IDLE_FACTOR,
@@ -190,6 +233,7 @@
         self._idle.set()
         self._server: _LimitedServer | None = None
         self._sockets: asyncio.Server | None = None
+        self._sweep: Subscription | None = None
 
     @property
     def active(self) -> int:
@@ -203,7 +247,10 @@
 
     async def start(self) -> None:
         """Starts to listen."""
-        self._server = _LimitedServer(self._serve, self._limits)
+        self._server = _LimitedServer(self._serve, self._limits, self._timers)
+        self._sweep = self._timers.call_every(
+            HEADER_PERIOD_S, self._refuse_slow_headers
+        )
         self._sockets = await asyncio.get_running_loop().create_server(
             self._server,
             self._address.host,
@@ -225,6 +272,7 @@
           timeout_s: Longest wait in seconds.
         """
         self._sockets.close()
+        self._sweep.cancel()
         for connection in self._server.connections:
             if not connection.busy:
                 connection.force_close()
@@ -235,7 +283,15 @@
             log.warning("listener: {} requests left at stop", self.active)
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
+    def _refuse_slow_headers(self) -> None:
+        timeout_s = self._limits().header_timeout_s
+        for connection in self._server.connections:
+            if connection.header_age_s > timeout_s:
+                log.info("listener: a header took over {} s", timeout_s)
+                connection.refuse_header()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        request.protocol.begin_request()
         reply = ConnectionReply(request, lambda: self._closing)
         self._active.add(request.protocol)
         self._idle.clear()
@@ -243,7 +299,7 @@
             await self._answer(request, reply)
         finally:
             self._active.discard(request.protocol)
-            request.protocol.busy = False
+            request.protocol.end_request()
             if not self._active:
                 self._idle.set()
         # An aborted connection still needs an answer for the library to drop.
--- a/packages/guavalane-entry/tests/gateway/test_bad_input.py
+++ b/packages/guavalane-entry/tests/gateway/test_bad_input.py
@@ -157,6 +157,31 @@
             assert got.startswith(b"HTTP/1.1 431")
             assert endpoint.requests == []
 
+    async def test_a_header_that_takes_too_long_ends_its_connection(self):
+        limits = attrs.evolve(LIMITS, header_timeout_s=0.3)
+        configuration = attrs.evolve(CONFIGURATION, limits=limits)
+        async with GatewayRig(configuration) as rig:
+            endpoint = await rig.add_endpoint(answer)
+            received = await send_raw(rig, HEAD)
+            assert received is not None and b" 408 " in received
+            assert endpoint.requests == []
+
+    async def test_a_slow_answer_or_an_idle_connection_is_no_slow_header(self):
+        async def answer_late(exchange):
+            await asyncio.sleep(0.7)
+            await answer(exchange)
+
+        limits = attrs.evolve(LIMITS, header_timeout_s=0.3)
+        configuration = attrs.evolve(CONFIGURATION, limits=limits)
+        async with GatewayRig(configuration) as rig:
+            await rig.add_endpoint(answer_late)
+            for _ in range(2):
+                async with rig.call() as response:
+                    assert response.status == 200
+                await asyncio.sleep(0.7)
+            # The session has kept one connection for both requests.
+            assert len(rig.listener.connections) == 1
+
     async def test_a_large_body_is_refused(self):
         async with GatewayRig(CONFIGURATION) as rig:
             endpoint = await rig.add_endpoint(answer)
