--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import pathlib
 import signal
@@ -16,6 +17,7 @@
     Deployment,
     make_config,
 )
+from guavalane_standins.log_schema import load_log_schema
 
 # The operators' bound on a configuration, in seconds.
 CONFIG_APPLY_S = 2.0
@@ -38,6 +40,21 @@
     return (user + system) / os.sysconf("SC_CLK_TCK")
 
 
+def read_mistakes(node):
+    """Returns what is wrong with the lines that a node has written."""
+    schema = load_log_schema()
+    whole, _, _ = node.read_output().rpartition("\n")
+    structured = [
+        json.loads(line) for line in whole.splitlines() if line.startswith("{")
+    ]
+    assert {line["event"] for line in structured} >= {
+        "node.started",
+        "configuration.offered",
+        "request.answered",
+    }
+    return [m for line in structured for m in schema.mistakes(line)]
+
+
 async def wait_for(condition, timeout_s):
     """Waits until a function returns something true."""
     end_s = time.monotonic() + timeout_s
@@ -66,6 +83,12 @@
                 assert answer[0] == 404
                 answer = await deployment.call(node, "/once/x", key="other")
                 assert answer[0] == 401
+            for node in deployment.nodes:
+                await wait_for(
+                    lambda node=node: "request.answered" in node.read_output(),
+                    2.0,
+                )
+                assert read_mistakes(node) == []
             assert len(app.runs) == 4
             assert len(llm.runs) == 2
             assert all(
