Read messages without collecting mistakes first

Change: a message is typed by one function per field; only a message that does not fit is read by the options that list all mistakes.

--- a/packages/guavalane-core/src/guavalane_core/messages/codec.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/codec.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import functools
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -42,6 +44,41 @@
     return fields
 
 
+@functools.cache
+def _reader_of(cls: type) -> Callable[[Any], Any]:
+    """Returns a function that builds a message from its fields.
+
+    It raises `MismatchError` for fields that are not those of a message,
+    without telling which.
+    """
+    keys = tuple(cls.OPTIONS)
+    readers = tuple(map(_field_reader, cls.OPTIONS.values()))
+
+    def read(fields: Any) -> Any:
+        if type(fields) is not list or len(fields) != len(keys):
+            raise options.MismatchError
+        values = [r(v) for r, v in zip(readers, fields, strict=True)]
+        return cls(**dict(zip(keys, values, strict=True)))
+
+    return read
+
+
+def _field_reader(option: options.Option) -> Callable[[Any], Any]:
+    item = getattr(option, "item", None)
+    if not isinstance(option, options.ListOf) or not isinstance(
+        item, options.Section
+    ):
+        return option.reader()
+    read_item = _reader_of(item.cls)
+
+    def read(value: Any) -> Any:
+        if type(value) is not list:
+            raise options.MismatchError
+        return tuple([read_item(entry) for entry in value])
+
+    return read
+
+
 def _to_map(cls: type, fields: list[Any]) -> dict[str, Any]:
     if not isinstance(fields, list) or len(fields) != len(cls.OPTIONS):
         raise MessageError(f"{cls.__name__}: wrong number of fields")
@@ -91,6 +128,11 @@
     cls = _TYPES.get(type_id) if isinstance(type_id, int) else None
     if cls is None:
         raise MessageError(f"unknown message type {type_id!r}")
+    try:
+        return _reader_of(cls)(fields)
+    except options.MismatchError:
+        # Read once more for a list of all mistakes.
+        pass
     try:
         return options.build(cls, _to_map(cls, fields))
     except ConfigurationError as error:
--- a/packages/guavalane-core/src/guavalane_core/schema/options.py
+++ b/packages/guavalane-core/src/guavalane_core/schema/options.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import attrs
@@ -16,6 +16,11 @@
 
 T = TypeVar("T")
 REDACTED = "<redacted>"
+Reader = Callable[[Any], Any]
+
+
+class MismatchError(Exception):
+    """A value is not one that an option accepts."""
 
 
 class Option:
@@ -36,6 +41,22 @@
         """Returns the typed value; appends a line per mistake."""
         raise NotImplementedError
 
+    def reader(self) -> Reader:
+        """Returns a function that types one value without a path.
+
+        It raises `MismatchError` for a value that `validate` rejects. Messages
+        are read by it, since most hold no mistake.
+        """
+
+        def read(value: Any) -> Any:
+            mistakes: list[str] = []
+            typed = self.validate(value, "", mistakes)
+            if mistakes:
+                raise MismatchError
+            return typed
+
+        return read
+
     def _reject(self, value: Any, path: str, mistakes: list[str]) -> None:
         shown = REDACTED if self.secret else repr(value)[:80]
         mistakes.append(f"{path}: expected {self.expected}, got {shown}")
@@ -80,6 +101,18 @@
             self._reject(value, path, mistakes)
         return value
 
+    def reader(self) -> Reader:
+        """Returns a function that types one value; see `Option.reader`."""
+        if self._min_length or self._pattern:
+            return super().reader()
+
+        def read(value: Any) -> Any:
+            if type(value) is not str:
+                raise MismatchError
+            return value
+
+        return read
+
 
 class Bytes(Option):
     """Accepts bytes."""
@@ -155,6 +188,18 @@
     noun = "an integer"
     types = (int,)
 
+    def reader(self) -> Reader:
+        """Returns a function that types one value; see `Option.reader`."""
+        if self._minimum != 0 or self._maximum is not None:
+            return super().reader()
+
+        def read(value: Any) -> Any:
+            if type(value) is not int or value < 0:
+                raise MismatchError
+            return value
+
+        return read
+
 
 class Choice(Option):
     """Accepts one of a few words.
--- a/packages/guavalane-core/tests/test_messages.py
+++ b/packages/guavalane-core/tests/test_messages.py
@@ -64,3 +64,48 @@
         ]
         ids = {cls.TYPE_ID for cls in messages}
         assert len(ids) == len(messages)
+
+
+class TestReaders:
+    """Guards against values that the fast way to read a message lets pass."""
+
+    REPORT = messages.NodeReport(
+        node="n1",
+        incarnation=1,
+        sequence=2,
+        wall_ms=3,
+        configuration=4,
+        duties=0,
+        work=(
+            messages.EndpointWork(endpoint="e", requests=1, prefill_tokens=2),
+        ),
+        allotments=(),
+        usage=(),
+        demand=(),
+        prefixes=(),
+        moves=(),
+    )
+
+    def test_nested_messages_round_trip(self):
+        assert messages.decode(messages.encode(self.REPORT)) == self.REPORT
+
+    @pytest.mark.parametrize(
+        ("place", "value"),
+        [
+            (2, 7),
+            (3, -1),
+            (3, True),
+            (3, 1.0),
+            (3, None),
+            (8, "e"),
+            (8, [["e", 1]]),
+            (8, [["e", -1, 2]]),
+            (8, [[None, 1, 2]]),
+            (8, [{"endpoint": "e"}]),
+        ],
+    )
+    def test_a_wrong_value_is_refused(self, place, value):
+        fields = cbor2.loads(messages.encode(self.REPORT))
+        fields[place] = value
+        with pytest.raises(MessageError):
+            messages.decode(cbor2.dumps(fields))
