Keep a quarter of the first endpoints until the load is known

The planner had given up 108 of 112 endpoints in the 16 s before the first request, as it took no requests for no need; new ones take 4 s to boot.

--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -23,6 +23,12 @@
 # Zones whose reclaimable endpoints may be lost before others have booted. A
 # wave of reclaims reaches a second zone within the boot time.
 LOST_ZONES = 2
+# Part of the endpoints found at the start that is planned for until the load is
+# known. Operators have sized them for a load that has not come yet.
+KEPT_PART = 0.25
+# Time from the first request, besides the boot time, until the load is taken as
+# known, in seconds; two time constants of the fast average of demand.
+LEARNING_S = 4.0
 # Part of the slots that is planned for.
 SLOT_UTILISATION = 0.6
 # Time after a refused order until the zone is asked again, in seconds.
@@ -106,6 +112,8 @@
         self._zones = sorted(zones, key=self._price)
         self._placed: dict[tuple[str, bool], _Placed] = {}
         self._enough_since_s: float | None = None
+        self._kept: int | None = None
+        self._loaded_since_s: float | None = None
 
     def on_accepted(self, order: ReplicaOrder, now_s: float) -> None:
         """Takes note of an order that the platform took."""
@@ -132,7 +140,10 @@
         """
         self._note_reclaims(endpoints, now_s)
         present = self._count(endpoints)
-        targets = self._targets(present, need.endpoints(), now_s)
+        needed = max(
+            need.endpoints(), self._kept_endpoints(present, need, now_s)
+        )
+        targets = self._targets(present, needed, now_s)
         orders = []
         for (zone, reclaimable), count in targets.items():
             placed = self._of(zone, reclaimable)
@@ -143,6 +154,27 @@
         orders.sort(key=lambda order: order.count == 0)
         return orders
 
+    def _kept_endpoints(
+        self,
+        present: Mapping[tuple[str, bool], int],
+        need: ReplicaNeed,
+        now_s: float,
+    ) -> int:
+        """Returns the endpoints to plan for until the load is known.
+
+        Without requests the load seems to need one endpoint; those that were
+        there at the start would be gone when the callers come.
+        """
+        if self._kept is None:
+            self._kept = math.ceil(KEPT_PART * sum(present.values()))
+        if self._loaded_since_s is None:
+            if not need.concurrent and not need.read_tokens_per_s:
+                return self._kept
+            self._loaded_since_s = now_s
+        learning_s = LEARNING_S + self._replicas.boot_s
+        known = now_s - self._loaded_since_s >= learning_s
+        return 0 if known else self._kept
+
     def _price(self, zone: str) -> tuple[float, str]:
         return self._replicas.zone_prices.get(zone, 1.0), zone
 
--- a/packages/guavalane-core/tests/test_replicas.py
+++ b/packages/guavalane-core/tests/test_replicas.py
@@ -135,6 +135,19 @@
         assert model.count(reclaimable=False) == 0
         assert model.count(reclaimable=True) == 4
 
+    def test_callers_who_come_after_a_while_find_endpoints(self):
+        """A fleet for a load that comes 16 s after its start, all at once."""
+        bounds = attrs.evolve(BOUNDS, maximum=56)
+        model = FleetModel(ReplicaPlanner(bounds, ZONES))
+        for zone in ZONES:
+            for _ in range(28):
+                model.add(zone, reclaimable=False)
+        model.run(16, 0)
+        # Ten endpoints carry this load; those for it take 4 s to boot.
+        assert model.run(12, 400_000) >= 10
+        model.run(30, 40_000)
+        assert len(model.endpoints) == len(ZONES)
+
     def test_the_loss_of_a_zone_leaves_enough(self):
         model = self.start()
         model.run(20, 100_000)
