Pass changes of the object API on by relays in large fleets

Change: from 24 nodes on, three nodes, chosen by hash of the live names, follow the object API, and all others follow one of them over a websocket. A relay tells how old its knowledge is; a follower reads from the object API itself once that is over 1.6 s, or the relay is silent for 1.2 s, or there is a gap. Smaller fleets are unchanged.

Weighed: waiting a second before each call would save three of five calls and cost a second on each change; stale reads may be seconds old.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -40,6 +40,10 @@
     "Ping",
     "PingRequest",
     "PrefixUse",
+    "RelayAge",
+    "RelayHeartbeat",
+    "RelayedBatch",
+    "RelayedObject",
     "RequestQuery",
     "RequestReply",
     "ServiceDemand",
@@ -811,6 +815,93 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class RelayedObject:
+    """Object after a change.
+
+    Attributes:
+      name: Name of the object.
+      version: Version of the object.
+      body: Content, as CBOR.
+      status: Status, as CBOR.
+      deleted: Whether the object is gone.
+    """
+
+    name: str
+    version: str
+    body: bytes
+    status: bytes
+    deleted: bool
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "name": options.Text(),
+        "version": options.Text(),
+        "body": options.Bytes(),
+        "status": options.Bytes(),
+        "deleted": options.Boolean(),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class RelayedBatch:
+    """Changes of one kind that a relay has read from the object API.
+
+    Attributes:
+      kind: Kind of the objects.
+      since: Version after which these are all changes.
+      version: Version up to which these are all changes.
+      objects: Changed objects in order.
+    """
+
+    kind: str
+    since: str
+    version: str
+    objects: tuple[RelayedObject, ...]
+
+    TYPE_ID: ClassVar[int] = 51
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "kind": options.Text(),
+        "since": options.Text(),
+        "version": options.Text(),
+        "objects": options.ListOf(options.Section(RelayedObject)),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class RelayAge:
+    """Age of what a relay knows of one kind.
+
+    Attributes:
+      kind: Kind of the objects.
+      age_ms: Time since the object API last answered the relay, in
+          milliseconds.
+    """
+
+    kind: str
+    age_ms: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "kind": options.Text(),
+        "age_ms": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class RelayHeartbeat:
+    """Sign of life of a relay, with the age of its knowledge.
+
+    Attributes:
+      ages: Ages by kind.
+    """
+
+    ages: tuple[RelayAge, ...]
+
+    TYPE_ID: ClassVar[int] = 52
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "ages": options.ListOf(options.Section(RelayAge)),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """Figures that a node tells the others several times a second.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
 from aiohttp import web
@@ -41,6 +41,7 @@
 CLOSE_TIMEOUT_S = 0.1
 
 Handler = Callable[[CallerRequest, "ConnectionReply"], Awaitable[None]]
+StreamHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 class _UnframedResponse(web.StreamResponse):
@@ -362,15 +363,18 @@
     Args:
       address: Address to listen on.
       paths: Functions that return status and body, by path.
+      streams: Functions that serve a request for as long as it lasts, by path.
     """
 
     def __init__(
         self,
         address: Address,
-        paths: dict[str, Callable[[], tuple[int, bytes]]],
+        paths: Mapping[str, Callable[[], tuple[int, bytes]]],
+        streams: Mapping[str, StreamHandler] | None = None,
     ) -> None:
         self._address = address
         self._paths = paths
+        self._streams = streams or {}
         self._server: web.Server | None = None
         self._sockets: asyncio.Server | None = None
 
@@ -387,7 +391,10 @@
             self._sockets.close()
             await self._server.shutdown(CLOSE_TIMEOUT_S)
 
-    async def _serve(self, request: web.BaseRequest) -> web.Response:
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        stream = self._streams.get(request.path)
+        if stream is not None:
+            return await stream(request)
         answer = self._paths.get(request.path)
         if answer is None or request.method != "GET":
             return web.Response(status=404)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -38,6 +38,13 @@
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
 from guavalane_entry.gateway.parts import GatewayParts
+from guavalane_entry.gateway.relayed_api import RelayedObjectApi
+from guavalane_entry.gateway.relays import (
+    HEARTBEAT_S,
+    RelayLink,
+    RelayServer,
+)
+from guavalane_entry.gateway.relays import PATH as CHANGES_PATH
 from guavalane_entry.gateway.reports import PeerReports
 from guavalane_entry.gateway.settings import GatewaySettings
 from guavalane_entry.gateway.sinks import (
@@ -139,6 +146,15 @@
             settings.metrics,
             {"/metrics": lambda: (200, self._metrics.render())},
         )
+        self._relay_server = RelayServer(timers)
+        self._relay_link = RelayLink(
+            settings.name,
+            self._reports.live_peers,
+            self._reports.address_of,
+            timers,
+            self._log,
+            rng,
+        )
         self._watches = self._make_watches(
             configuration_kind, endpoint_kind, move_kind
         )
@@ -156,6 +172,7 @@
                 PATH + name: functools.partial(encode_copy, watch)
                 for name, watch in self._watches.items()
             },
+            {CHANGES_PATH: self._relay_server.serve},
         )
         orders = MoveOrders(
             self._watches["moves"].objects, move_kind.encode_status
@@ -191,6 +208,8 @@
         for watch in self._watches.values():
             watch.start()
         self._register_task = asyncio.create_task(self._register())
+        self._relay_link.start()
+        self._timers.call_every(HEARTBEAT_S, self._relay_server.send_heartbeat)
         self._copies.start()
         self._duties.start()
         self._timers.call_every(EXPIRY_PERIOD_S, self._expire)
@@ -214,6 +233,7 @@
         await self._callers.drain(max(0.0, left_s))
         await cancel_tasks(self._register_task)
         await self._copies.stop()
+        await self._relay_link.stop()
         await self._copy_listener.stop()
         for watch in self._watches.values():
             await watch.stop()
@@ -246,6 +266,7 @@
             "allotment_drawn_units": lambda: dict(view.allotments.drawn),
             "duties_fencing_number": lambda: {"": self._duties.held_number()},
             "log_lines_dropped": lambda: {"": self._log.dropped},
+            "relay_followers": lambda: {"": self._relay_server.followers},
             "work_requests": lambda: {
                 name: load.requests
                 for name, load in view.work.own_loads().items()
@@ -286,9 +307,16 @@
                 MoveSink(self._view, move_kind.decode, self._log),
             ),
         }
+        api = RelayedObjectApi(
+            self._api,
+            self._relay_link,
+            self._relay_server,
+            (configuration_kind[0], endpoint_kind[0]),
+            self._timers,
+        )
         return {
             name: KindWatch(
-                self._api, kind, sink, self._timers, self._log, self._view.rng
+                api, kind, sink, self._timers, self._log, self._view.rng
             )
             for name, (kind, sink) in kinds.items()
         }
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/relays.py
@@ -0,0 +1,418 @@
+"""Changes of the object API that a few nodes pass on to the others.
+
+In a large fleet a few relays follow the object API and all other nodes follow
+a relay, since each change would otherwise cost a call of every node.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Collection, Iterable, Sequence
+
+import aiohttp
+import attrs
+import cbor2
+import xxhash
+from aiohttp import web
+from loguru import logger as log
+
+from guavalane_core.exceptions import MessageError
+from guavalane_core.messages import (
+    RelayAge,
+    RelayedBatch,
+    RelayedObject,
+    RelayHeartbeat,
+    decode,
+    encode,
+)
+from guavalane_core.objects import ObjectBatch, ObjectEvent, StoredObject
+from guavalane_core.tasks import cancel_tasks
+from guavalane_core.timers import Timers
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.http_session import make_probed_socket, make_session
+
+PATH = "/changes"
+# Nodes that follow the object API for the others. With three, one may restart
+# while another fails.
+RELAYS = 3
+# In smaller fleets each node follows the object API itself.
+SMALLEST_FLEET = 24
+# Time between two heartbeats of a relay, in seconds.
+HEARTBEAT_S = 0.4
+# A relay that was not heard for this time, in seconds, is given up. Together
+# with the age below it stays within the operators' shortest bound on changes.
+SILENT_S = 1.2
+# Age, in seconds, from which a relay's knowledge is not used.
+LONGEST_AGE_S = 1.6
+# Time for which a relay that failed is not tried again, in seconds.
+AVOIDED_S = 3.0
+# Time between two looks at which relay to follow, in seconds.
+PERIOD_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+# Batches of one kind that a follower keeps for its watch to take.
+KEPT_BATCHES = 256
+# A follower that lets this much wait, in bytes, is disconnected.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+
+
+def choose_relays(names: Collection[str]) -> list[str]:
+    """Returns the relays of a fleet; none for a small one.
+
+    All nodes that know the same names agree without a message.
+    """
+    if len(names) < SMALLEST_FLEET:
+        return []
+    return sorted(names, key=lambda n: xxhash.xxh3_64_intdigest(n.encode()))[
+        :RELAYS
+    ]
+
+
+def encode_batch(kind: str, since: str, batch: ObjectBatch) -> bytes:
+    """Returns the frame of changes."""
+    return encode(
+        RelayedBatch(
+            kind=kind,
+            since=since,
+            version=batch.version,
+            objects=tuple(
+                RelayedObject(
+                    name=event.object.name,
+                    version=event.object.version,
+                    body=cbor2.dumps(event.object.body),
+                    status=cbor2.dumps(dict(event.object.status)),
+                    deleted=event.deleted,
+                )
+                for event in batch.events
+            ),
+        )
+    )
+
+
+def decode_batch(message: RelayedBatch) -> ObjectBatch:
+    """Returns the changes of a message.
+
+    Raises:
+      MessageError: An object's content is no CBOR map.
+    """
+    try:
+        events = tuple(
+            ObjectEvent(
+                StoredObject(
+                    message.kind,
+                    told.name,
+                    told.version,
+                    dict(cbor2.loads(told.body)),
+                    status=dict(cbor2.loads(told.status)),
+                ),
+                told.deleted,
+            )
+            for told in message.objects
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        raise MessageError(f"broken object: {error}") from None
+    return ObjectBatch(events, message.version)
+
+
+class RelayServer:
+    """Passes on what this node reads from the object API.
+
+    Args:
+      timers: Timer service.
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._followers: dict[web.WebSocketResponse, asyncio.Transport] = {}
+        self._versions: dict[str, str] = {}
+        self._answered_s: dict[str, float] = {}
+
+    @property
+    def followers(self) -> int:
+        """Nodes that follow this one."""
+        return len(self._followers)
+
+    def publish(self, kind: str, since: str, batch: ObjectBatch) -> None:
+        """Passes on an answer of the object API."""
+        self._versions[kind] = batch.version
+        self._answered_s[kind] = self._timers.now()
+        if self._followers:
+            self._send(encode_batch(kind, since, batch))
+
+    def lose(self, kind: str) -> None:
+        """Notes that the object API does not answer about a kind."""
+        if self._answered_s.pop(kind, None) is not None:
+            self.send_heartbeat()
+
+    def send_heartbeat(self) -> None:
+        """Tells followers the age of what this node knows."""
+        if self._followers:
+            self._send(self._heartbeat())
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one follower until its connection ends."""
+        follower = web.WebSocketResponse(heartbeat=None)
+        await follower.prepare(request)
+        for kind, version in self._versions.items():
+            start = encode_batch(kind, version, ObjectBatch((), version))
+            await follower.send_bytes(start)
+        await follower.send_bytes(self._heartbeat())
+        self._followers[follower] = request.transport
+        try:
+            # Followers send nothing; this ends with their connection.
+            async for _ in follower:
+                pass
+        finally:
+            self._followers.pop(follower, None)
+        return follower
+
+    def _heartbeat(self) -> bytes:
+        now_s = self._timers.now()
+        return encode(
+            RelayHeartbeat(
+                ages=tuple(
+                    RelayAge(kind=kind, age_ms=int((now_s - at_s) * 1000))
+                    for kind, at_s in self._answered_s.items()
+                )
+            )
+        )
+
+    def _send(self, frame: bytes) -> None:
+        for follower, transport in list(self._followers.items()):
+            if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                del self._followers[follower]
+                transport.abort()
+            else:
+                task = asyncio.ensure_future(follower.send_bytes(frame))
+                task.add_done_callback(_note_closed)
+
+
+def _note_closed(task: asyncio.Future) -> None:
+    # A follower whose connection broke finds another relay.
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        log.debug("relays: a follower has left: {!r}", error)
+
+
+@attrs.define
+class _FollowedKind:
+    """Changes of one kind as a relay tells them.
+
+    Attributes:
+      start: Version from which on all changes are known.
+      version: Version up to which all changes are known.
+      answered_s: When the object API last answered the relay, on the
+          monotonic clock of this node; None while it does not.
+      batches: Version before, and changes, of the newest batches.
+    """
+
+    start: int
+    version: int
+    answered_s: float | None = None
+    batches: deque[tuple[int, ObjectBatch]] = attrs.field(
+        factory=lambda: deque(maxlen=KEPT_BATCHES)
+    )
+
+    def add(self, since: int, batch: ObjectBatch) -> None:
+        """Takes changes; a gap before them starts anew."""
+        if since > self.version:
+            self.start = since
+            self.batches.clear()
+        if len(self.batches) == KEPT_BATCHES:
+            _, oldest = self.batches[0]
+            self.start = int(oldest.version)
+        self.version = max(self.version, int(batch.version))
+        if batch.events:
+            self.batches.append((since, batch))
+
+    def after(self, version: int) -> ObjectBatch:
+        """Returns the changes after a version that is known."""
+        events = [
+            event
+            for _, batch in self.batches
+            if int(batch.version) > version
+            for event in batch.events
+        ]
+        return ObjectBatch(tuple(events), str(max(version, self.version)))
+
+
+class RelayLink:
+    """Connection of this node to the relay that it follows.
+
+    Args:
+      name: Name of this node.
+      live: Function that returns the live nodes, without this one.
+      address_of: Function that returns where a node is reached.
+      timers: Timer service.
+      log: Log of decisions.
+      rng: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        live: Callable[[], Sequence[str]],
+        address_of: Callable[[str], str | None],
+        timers: Timers,
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._live = live
+        self._address_of = address_of
+        self._timers = timers
+        self._log = log
+        self._rng = rng
+        self._kinds: dict[str, _FollowedKind] = {}
+        self._relay: str | None = None
+        self._heard_s = 0.0
+        self._avoided: dict[str, float] = {}
+        self._changed = asyncio.Event()
+        self._session: aiohttp.ClientSession | None = None
+        self._task: asyncio.Task | None = None
+
+    @property
+    def relay(self) -> str | None:
+        """Relay that this node follows; None while it follows none."""
+        return self._relay
+
+    def start(self) -> None:
+        """Starts to look for a relay."""
+        self._session = make_session(
+            connector=aiohttp.TCPConnector(socket_factory=make_probed_socket)
+        )
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Ends the connection."""
+        await cancel_tasks(self._task)
+        if self._session is not None:
+            await self._session.close()
+
+    def is_relay(self) -> bool:
+        """Returns whether other nodes may follow this one."""
+        return self._name in self._relays()
+
+    def covers(self, kind: str, version: str, *, urgent: bool) -> bool:
+        """Returns whether the relay tells all changes after a version.
+
+        Args:
+          kind: Kind of the objects.
+          version: Version.
+          urgent: Whether the relay's own knowledge has to be fresh.
+        """
+        known = self._kinds.get(kind)
+        now_s = self._timers.now()
+        if self._relay is None or known is None or known.answered_s is None:
+            return False
+        if now_s - self._heard_s > SILENT_S:
+            return False
+        if urgent and now_s - known.answered_s > LONGEST_AGE_S:
+            return False
+        return known.start <= int(version)
+
+    def is_ahead(self, kind: str, version: str, *, urgent: bool) -> bool:
+        """Returns whether the relay tells of changes, but of later ones only.
+
+        The changes in between are to be read from the object API.
+        """
+        known = self._kinds.get(kind)
+        return (
+            known is not None
+            and known.start > int(version)
+            and self.covers(kind, str(known.start), urgent=urgent)
+        )
+
+    def changes(self, kind: str, version: str) -> ObjectBatch:
+        """Returns the known changes after a version that is covered."""
+        return self._kinds[kind].after(int(version))
+
+    async def wait(self, timeout_s: float) -> None:
+        """Waits until the relay tells something."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _relays(self) -> list[str]:
+        return choose_relays([self._name, *self._live()])
+
+    def _candidates(self) -> list[str]:
+        now_s = self._timers.now()
+        return [
+            name
+            for name in self._relays()
+            if name != self._name
+            and now_s >= self._avoided.get(name, 0.0)
+            and self._address_of(name) is not None
+        ]
+
+    async def _run(self) -> None:
+        while True:
+            candidates = [] if self.is_relay() else self._candidates()
+            if candidates:
+                await self._follow(self._rng.choice(candidates))
+            else:
+                await self._timers.sleep(PERIOD_S)
+
+    async def _follow(self, relay: str) -> None:
+        reason = "closed"
+        url = f"http://{self._address_of(relay)}{PATH}"
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                socket = await self._session.ws_connect(url)
+            async with socket:
+                self._relay = relay
+                self._log.event("relay.followed", relay=relay)
+                await self._read(relay, socket)
+        except (
+            aiohttp.ClientError,
+            MessageError,
+            OSError,
+            TimeoutError,
+            TypeError,
+            ValueError,
+        ) as error:
+            reason = repr(error)
+        finally:
+            followed, self._relay = self._relay, None
+            self._kinds.clear()
+            self._wake()
+        self._avoided[relay] = self._timers.now() + AVOIDED_S
+        if followed is not None:
+            self._log.event("relay.lost", relay=relay, reason=reason)
+
+    async def _read(
+        self, relay: str, socket: aiohttp.ClientWebSocketResponse
+    ) -> None:
+        """Takes what a relay tells, until it is silent or no relay."""
+        while relay in self._relays():
+            frame = await socket.receive_bytes(timeout=SILENT_S)
+            self._heard_s = self._timers.now()
+            message = decode(frame)
+            if isinstance(message, RelayedBatch):
+                self._take_batch(message)
+            elif isinstance(message, RelayHeartbeat):
+                self._take_ages(message.ages)
+            self._wake()
+
+    def _take_batch(self, message: RelayedBatch) -> None:
+        since = int(message.since)
+        known = self._kinds.get(message.kind)
+        if known is None:
+            known = _FollowedKind(since, since)
+            self._kinds[message.kind] = known
+        known.add(since, decode_batch(message))
+        known.answered_s = self._heard_s
+
+    def _take_ages(self, ages: Iterable[RelayAge]) -> None:
+        told = {age.kind: age.age_ms / 1000 for age in ages}
+        for kind, known in self._kinds.items():
+            age_s = told.get(kind)
+            known.answered_s = None if age_s is None else self._heard_s - age_s
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
