Remove the entries of lost nodes, and wait for reports of large fleets

Cause: a node that was gone for good stayed in the list of nodes, so its part of each allotment's inflow, of the retry budget and of the connections to endpoints went unused for ever. Change: the holder of the duties removes an entry whose node it has not heard for 15 s, unless it hears less than half of the others; a live node whose entry was removed registers again.

Usage was fixed 1.0 s after the end of a window, but 80 nodes report each 1.25 s only. The wait now follows the period of reports, up to half of the time until the usage is due; it is unchanged for up to 16 nodes. Both were found by reading; tests cover a lost, restarting and cut-off node, and the wait.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, Protocol
 
 import attrs
@@ -66,6 +66,7 @@
       cloud: Calls of the platform.
       log: Log of decisions.
       move_orders: Stored orders of moves.
+      live: Function that returns the other nodes that are heard.
     """
 
     view: NodeView
@@ -73,6 +74,7 @@
     cloud: Cloud
     log: DecisionLog
     move_orders: MoveOrders
+    live: Callable[[], Collection[str]]
 
 
 DUTIES: Registry[type[Duty]] = Registry("duty")
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -2,25 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 import random
 from collections.abc import Callable
 from typing import Any
 
 import attrs
-from loguru import logger as log
 
-from guavalane_core.exceptions import (
-    ObjectApiError,
-    ObjectConflictError,
-)
 from guavalane_core.forwarding import CallerLimits, MovePhase, VersionMove
 from guavalane_core.objects import StatusApi
-from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
 from guavalane_entry.gateway import (  # noqa: F401
     move_duty,
+    node_duty,
     replica_duty,
     usage_duty,
 )
@@ -38,6 +32,7 @@
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
 from guavalane_entry.gateway.parts import GatewayParts
+from guavalane_entry.gateway.registration import NODE_KIND, Registration
 from guavalane_entry.gateway.relayed_api import RelayedObjectApi
 from guavalane_entry.gateway.relays import (
     HEARTBEAT_S,
@@ -60,7 +55,6 @@
 from guavalane_entry.gateway.watch import KindWatch
 from guavalane_entry.metrics import Metrics
 
-NODE_KIND = "nodes"
 # Time between two looks at endpoints whose grace may have ended, in seconds.
 EXPIRY_PERIOD_S = 0.25
 # Time after SIGTERM for which new connections are taken, in seconds: the load
@@ -68,8 +62,6 @@
 UNREADY_S = 2.5
 # Part of the stop grace that is kept for closing, in seconds.
 CLOSING_S = 0.7
-# Time before the registration of the node is tried again, in seconds.
-REGISTER_DELAY_S = 0.5
 
 
 @attrs.frozen(eq=False)
@@ -146,6 +138,9 @@
             settings.metrics,
             {"/metrics": lambda: (200, self._metrics.render())},
         )
+        self._registration = Registration(
+            api, settings, self._incarnation, timers
+        )
         self._relay_server = RelayServer(timers)
         self._relay_link = RelayLink(
             settings.name,
@@ -177,13 +172,19 @@
         orders = MoveOrders(
             self._watches["moves"].objects, move_kind.encode_status
         )
-        context = DutyContext(self._view, api, cloud, self._log, orders)
+        context = DutyContext(
+            self._view,
+            api,
+            cloud,
+            self._log,
+            orders,
+            self._reports.live_peers,
+        )
         self._duties = DutyRunner(
             context, self._reports, timers, self._incarnation
         )
         self._add_gauges()
         self._stopping = False
-        self._register_task: asyncio.Task | None = None
 
     @property
     def ready(self) -> bool:
@@ -207,7 +208,7 @@
         await self._copy_listener.start()
         for watch in self._watches.values():
             watch.start()
-        self._register_task = asyncio.create_task(self._register())
+        self._registration.start()
         self._relay_link.start()
         self._timers.call_every(HEARTBEAT_S, self._relay_server.send_heartbeat)
         self._copies.start()
@@ -231,7 +232,7 @@
         grace_s = self._view.settings.stop_grace_s
         left_s = grace_s - spent_s - CLOSING_S
         await self._callers.drain(max(0.0, left_s))
-        await cancel_tasks(self._register_task)
+        await self._registration.stop()
         await self._copies.stop()
         await self._relay_link.stop()
         await self._copy_listener.stop()
@@ -301,7 +302,10 @@
                 endpoint_kind[0],
                 EndpointSink(self._view, endpoint_kind[1], self._log),
             ),
-            "nodes": (NODE_KIND, PeerSink(self._view)),
+            "nodes": (
+                NODE_KIND,
+                PeerSink(self._view, self._registration.renew),
+            ),
             "moves": (
                 move_kind.name,
                 MoveSink(self._view, move_kind.decode, self._log),
@@ -324,26 +328,3 @@
     def _expire(self) -> None:
         for name in self._view.directory.expire(self._timers.now()):
             self._log.event("endpoint.expired", endpoint=name)
-
-    async def _register(self) -> None:
-        """Lists this node, so that the others send it their reports."""
-        body = {
-            "address": str(self._settings.peers),
-            "zone": self._settings.zone,
-            "incarnation": self._incarnation,
-        }
-        name = self._settings.name
-        while True:
-            try:
-                try:
-                    await self._api.create(NODE_KIND, name, body)
-                except ObjectConflictError:
-                    stored = await self._api.get(NODE_KIND, name)
-                    if stored.body.get("address") != body["address"]:
-                        await self._api.update(
-                            NODE_KIND, name, body, stored.version
-                        )
-                return
-            except ObjectApiError as error:
-                log.debug("node: not registered yet: {}", error)
-            await self._timers.sleep(REGISTER_DELAY_S)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -170,24 +170,28 @@
 
     Args:
       view: State to change.
+      on_unlisted: Called when the list lacks this node.
     """
 
-    def __init__(self, view: NodeView) -> None:
+    def __init__(self, view: NodeView, on_unlisted: Callable[[], None]) -> None:
         self._view = view
+        self._on_unlisted = on_unlisted
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
-        self._view.peers.clear()
-        for stored in objects:
-            self._put(stored)
+        self._replace(objects)
+        if all(s.name != self._view.settings.name for s in objects):
+            self._on_unlisted()
 
     def merge(self, objects: list[StoredObject]) -> None:
-        """Takes the list of another node."""
-        self.replace_all(objects)
+        """Takes the list of another node, which may be older."""
+        self._replace(objects)
 
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
-        if event.deleted:
+        if event.deleted and event.object.name == self._view.settings.name:
+            self._on_unlisted()
+        elif event.deleted:
             self._view.peers.pop(event.object.name, None)
         else:
             self._put(event.object)
@@ -198,6 +202,11 @@
     def regain(self) -> None:
         """Keeps the nodes that are known."""
 
+    def _replace(self, objects: list[StoredObject]) -> None:
+        self._view.peers.clear()
+        for stored in objects:
+            self._put(stored)
+
     def _put(self, stored: StoredObject) -> None:
         address = stored.body.get("address")
         if stored.name != self._view.settings.name and address:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/usage_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/usage_duty.py
@@ -10,12 +10,26 @@
 from guavalane_core.leases import LeaseHolder
 from guavalane_core.objects import ConditionalWriter, StoredObject
 from guavalane_entry.gateway.duties import DUTIES, DutyContext
+from guavalane_entry.gateway.reports import report_period_s
 
 KIND = "usage"
 NAME = "reported"
-# Time after the end of a window until all nodes have told their counts, in
-# seconds: three reports.
-SETTLE_S = 1.0
+# Periods of reports after the end of a window until all nodes have told their
+# counts: one report may be lost, and each node's period has a phase and a
+# jitter of its own.
+SETTLE_PERIODS = 4
+# Part of the time until the usage is due that may be spent on waiting.
+SETTLE_PART = 0.5
+
+
+def settle_s(nodes: int, due_s: float) -> float:
+    """Returns the time from the end of a window until its figures are fixed.
+
+    Args:
+      nodes: Nodes that report.
+      due_s: Time after its end at which the usage is due, in seconds.
+    """
+    return min(SETTLE_PERIODS * report_period_s(nodes), SETTLE_PART * due_s)
 
 
 @attrs.frozen
@@ -79,7 +93,10 @@
 
     def _next_window(self) -> int | None:
         usage = self._view.usage
-        newest = usage.window_at(self._view.clock.now() - SETTLE_S) - 1
+        wait_s = settle_s(
+            self._view.node_count, self._view.settings.usage_due_s
+        )
+        newest = usage.window_at(self._view.clock.now() - wait_s) - 1
         if self._frozen is None:
             return usage.oldest_window(newest)
         window = self._frozen.window + 1
--- /dev/null
+++ b/packages/guavalane-entry/tests/gateway/test_node_duty.py
@@ -0,0 +1,152 @@
+"""Tests of the list of nodes: entries of nodes that are gone, or came back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from guavalane_core.objects import MemoryObjectApi, ObjectEvent, StoredObject
+from guavalane_core.timers import LoopTimers, ManualTimers
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.duties import DutyContext, MoveOrders
+from guavalane_entry.gateway.node_duty import FORGET_S, NodeDuty
+from guavalane_entry.gateway.registration import NODE_KIND, Registration
+from guavalane_entry.gateway.settings import Address, GatewaySettings
+from guavalane_entry.gateway.sinks import PeerSink
+from guavalane_entry.gateway.usage_duty import settle_s
+from guavalane_entry.gateway.view import NodeView
+
+ADDRESS = Address("127.0.0.1", 7600)
+PEERS = ("n2", "n3", "n4", "n5")
+
+
+def make_settings(name="n1"):
+    """Returns the settings of a node."""
+    return GatewaySettings(
+        name=name,
+        zone="zone-a",
+        callers=ADDRESS,
+        readiness=ADDRESS,
+        peers=ADDRESS,
+        metrics=ADDRESS,
+    )
+
+
+class FakeLease:
+    """Lease that is always held."""
+
+    def require(self):
+        return 1
+
+
+class TestNodeDuty:
+    """Guards against lost nodes that count for ever, and live ones removed."""
+
+    @pytest.fixture
+    async def world(self):
+        """Yields timers, object API, set of live nodes and the duty."""
+        timers = ManualTimers()
+        api = MemoryObjectApi()
+        view = NodeView(make_settings(), timers, random.Random(1))
+        for name in PEERS:
+            body = {"address": str(ADDRESS)}
+            await api.create(NODE_KIND, name, body)
+            view.peers[name] = str(ADDRESS)
+        live = set(PEERS)
+        log = DecisionLog("n1", timers.wall)
+        orders = MoveOrders({}, lambda move, phase: {})
+        context = DutyContext(view, api, None, log, orders, lambda: live)
+        return timers, api, live, NodeDuty(context)
+
+    async def names(self, api):
+        """Returns the listed nodes."""
+        objects, _ = await api.list(NODE_KIND)
+        return {stored.name for stored in objects}
+
+    async def play(self, timers, duty, seconds):
+        """Runs the duty each half second."""
+        for _ in range(int(seconds * 2)):
+            await duty.step(FakeLease())
+            timers.advance(0.5)
+
+    async def test_a_node_that_is_gone_is_removed(self, world):
+        timers, api, live, duty = world
+        live.remove("n3")
+        await self.play(timers, duty, FORGET_S - 1)
+        assert await self.names(api) == set(PEERS)
+        await self.play(timers, duty, 3)
+        assert await self.names(api) == set(PEERS) - {"n3"}
+
+    async def test_a_node_that_restarts_stays(self, world):
+        timers, api, live, duty = world
+        for _ in range(4):
+            live.remove("n3")
+            await self.play(timers, duty, FORGET_S - 1)
+            live.add("n3")
+            await self.play(timers, duty, 1)
+        assert await self.names(api) == set(PEERS)
+
+    async def test_a_holder_that_is_cut_off_removes_nobody(self, world):
+        timers, api, live, duty = world
+        live -= {"n2", "n3", "n4"}
+        await self.play(timers, duty, 3 * FORGET_S)
+        assert await self.names(api) == set(PEERS)
+
+    async def test_a_lost_answer_does_not_repeat_for_ever(self, world):
+        timers, api, live, duty = world
+        live.remove("n3")
+        await api.delete(
+            NODE_KIND, "n3", (await api.get(NODE_KIND, "n3")).version
+        )
+        await self.play(timers, duty, FORGET_S + 2)
+        assert await self.names(api) == set(PEERS) - {"n3"}
+
+
+class TestRegistration:
+    """Guards against a live node that the others do not find."""
+
+    async def test_a_removed_entry_is_written_again(self):
+        api = MemoryObjectApi()
+        registration = Registration(api, make_settings(), 1, LoopTimers())
+        view = NodeView(make_settings(), LoopTimers(), random.Random(1))
+        sink = PeerSink(view, registration.renew)
+        registration.start()
+        await asyncio.sleep(0.05)
+        stored = await api.get(NODE_KIND, "n1")
+        await api.delete(NODE_KIND, "n1", stored.version)
+        sink.apply(ObjectEvent(stored, deleted=True))
+        await asyncio.sleep(0.05)
+        assert (await api.get(NODE_KIND, "n1")).body == stored.body
+        await registration.stop()
+
+    async def test_a_new_address_replaces_the_old_one(self):
+        api = MemoryObjectApi()
+        await api.create(NODE_KIND, "n1", {"address": "127.0.0.1:1"})
+        registration = Registration(api, make_settings(), 1, LoopTimers())
+        registration.start()
+        await asyncio.sleep(0.05)
+        stored = await api.get(NODE_KIND, "n1")
+        assert stored.body["address"] == str(ADDRESS)
+        await registration.stop()
+
+    def test_only_a_list_of_the_object_api_tells_that_it_is_missing(self):
+        told = []
+        view = NodeView(make_settings(), ManualTimers(), random.Random(1))
+        sink = PeerSink(view, lambda: told.append(1))
+        other = StoredObject(NODE_KIND, "n2", "1", {"address": "a:1"})
+        sink.merge([other])
+        assert not told
+        sink.replace_all([other])
+        assert told
+        assert view.peers == {"n2": "a:1"}
+
+
+class TestSettleTime:
+    """Guards against figures that are fixed before all nodes have told."""
+
+    def test_it_follows_the_reports_and_stays_within_the_due_time(self):
+        assert settle_s(8, 10.0) == 1.0
+        assert settle_s(80, 10.0) == 5.0
+        assert settle_s(550, 10.0) == 5.0
