Place requests of many nodes by fresh sums and a random sample

Each of 80 nodes chose the best of all endpoints by reports that were up to 1.25 s old, longer than most requests run, so that many chose the same endpoint.

Change: from 24 nodes on, nodes tell their work to the relays four times a second, and relays tell all followers the sum; beyond 16 nodes an engine is the best of three random endpoints, two that hold most of the prompt, and its home, and a plain endpoint the better of two. The work of all nodes is summed as reports come, not for each endpoint and request.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -42,6 +42,7 @@
     "PrefixUse",
     "RelayAge",
     "RelayHeartbeat",
+    "RelayLoads",
     "RelayedBatch",
     "RelayedObject",
     "RequestQuery",
@@ -49,6 +50,7 @@
     "ServiceDemand",
     "Veto",
     "WindowUsage",
+    "WorkReport",
 ]
 
 
@@ -902,6 +904,47 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class WorkReport:
+    """Work of one node, which it tells relays more often than all else.
+
+    Attributes:
+      node: Name of the sender.
+      incarnation: Incarnation of the sender.
+      sequence: Number that rises with each work report of an incarnation.
+      work: Work at endpoints.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    work: tuple[EndpointWork, ...]
+
+    TYPE_ID: ClassVar[int] = 53
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "node": options.Text(),
+        "incarnation": options.Integer(minimum=0),
+        "sequence": options.Integer(minimum=0),
+        "work": options.ListOf(options.Section(EndpointWork)),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class RelayLoads:
+    """Work of all nodes as a relay knows it.
+
+    Attributes:
+      loads: Work at endpoints, that of the receiver included.
+    """
+
+    loads: tuple[EndpointWork, ...]
+
+    TYPE_ID: ClassVar[int] = 54
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "loads": options.ListOf(options.Section(EndpointWork)),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """Figures that a node tells the others several times a second.
--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -6,6 +6,8 @@
     Candidate,
     choose_endpoint,
     rank_engines,
+    sample_endpoints,
+    shortlist,
 )
 from guavalane_core.placement.prefixes import PrefixDirectory
 from guavalane_core.placement.rates import EngineRates
@@ -19,4 +21,6 @@
     "WorkTable",
     "choose_endpoint",
     "rank_engines",
+    "sample_endpoints",
+    "shortlist",
 ]
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Sequence
 
 import attrs
@@ -23,6 +24,12 @@
 # with, so that all nodes send the same prompt to the same endpoint without a
 # message.
 HOME_CREDIT = 0.5
+# Random candidates that are compared, and candidates with the most cached
+# tokens. Many nodes that hold the same old reports would all choose the
+# endpoint that is best by them.
+SAMPLE = 3
+PLAIN_SAMPLE = 2
+CACHED_SAMPLE = 2
 
 
 @attrs.frozen
@@ -46,14 +53,23 @@
     engine: Engine,
     rates: EngineRates,
     zone: str,
+    home: Candidate | None = None,
 ) -> list[tuple[float, Candidate]]:
     """Returns candidates with their cost in seconds, the best first.
 
     The cost is the expected time to the first token: the queue for a slot, the
     prompts that are read before, and the part of this prompt that the engine
     does not hold.
+
+    Args:
+      candidates: Endpoints to compare.
+      prompt: Prompt of the request.
+      engine: Engine of the endpoints.
+      rates: Speeds of the engines.
+      zone: Availability zone of this node.
+      home: Home of the prompt; that among the candidates if None.
     """
-    home = _home_of(candidates, prompt)
+    home = home or _home_of(candidates, prompt)
     ranked = [
         (_engine_cost(c, c is home, prompt, engine, rates, zone), c)
         for c in candidates
@@ -62,6 +78,41 @@
     return ranked
 
 
+def shortlist(
+    candidates: Sequence[Candidate], prompt: Prompt, rng: random.Random
+) -> tuple[list[Candidate], Candidate | None]:
+    """Returns the candidates to compare where many nodes choose at once.
+
+    They are a random sample, those that hold most of the prompt, and the
+    prompt's home, on which all nodes agree.
+
+    Returns:
+      The candidates, and the home among them.
+    """
+    home = _home_of(candidates, prompt)
+    if len(candidates) <= SAMPLE:
+        return list(candidates), home
+    chosen = rng.sample(candidates, SAMPLE)
+    holders = [c for c in candidates if c.cached_tokens]
+    holders.sort(key=lambda c: c.cached_tokens, reverse=True)
+    chosen += holders[:CACHED_SAMPLE]
+    if home is not None:
+        chosen.append(home)
+    by_name = {c.endpoint.endpoint_id: c for c in chosen}
+    return list(by_name.values()), home
+
+
+def sample_endpoints(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> list[Candidate]:
+    """Returns two random candidates of a plain service, or all of fewer.
+
+    With reports that are old, the better of two spreads the requests of many
+    nodes better than the best of all.
+    """
+    return rng.sample(candidates, min(PLAIN_SAMPLE, len(candidates)))
+
+
 def choose_endpoint(
     candidates: Sequence[Candidate], zone: str
 ) -> Candidate | None:
--- a/packages/guavalane-core/src/guavalane_core/placement/work.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/work.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 
@@ -23,6 +25,15 @@
             self.prefill_tokens + other.prefill_tokens,
         )
 
+    def __sub__(self, other: Load) -> Load:
+        return Load(
+            self.requests - other.requests,
+            self.prefill_tokens - other.prefill_tokens,
+        )
+
+
+NO_LOAD = Load()
+
 
 @attrs.define(eq=False)
 class Work:
@@ -50,6 +61,13 @@
     def __init__(self) -> None:
         self._own: dict[str, set[Work]] = {}
         self._reports: dict[str, _Report] = {}
+        # Sum of the reports by endpoint. Among many nodes, a sum for each
+        # endpoint and request would cost more than the request.
+        self._reported: dict[str, Load] = {}
+        self._expired_s = -math.inf
+        # Work of the other nodes as a relay told it, and until when it holds.
+        self._relayed: dict[str, Load] = {}
+        self._relayed_until_s = -math.inf
 
     def start(self, endpoint_id: str, prefill_tokens: int = 0) -> Work:
         """Adds an attempt of this node and returns its entry."""
@@ -87,12 +105,53 @@
           loads: Its work by endpoint.
           valid_until_s: Time after which the work is taken as ended.
         """
+        self._drop(node)
         self._reports[node] = _Report(valid_until_s, loads)
+        for endpoint_id, load in loads.items():
+            known = self._reported.get(endpoint_id, NO_LOAD)
+            self._reported[endpoint_id] = known + load
+
+    def relay(self, loads: dict[str, Load], valid_until_s: float) -> None:
+        """Takes the work of all other nodes; it goes before their reports.
+
+        Args:
+          loads: Work by endpoint.
+          valid_until_s: Time after which reports count again.
+        """
+        self._relayed = loads
+        self._relayed_until_s = valid_until_s
+
+    def totals(self, now_s: float) -> dict[str, Load]:
+        """Returns the work of all nodes by endpoint."""
+        names = self._own.keys() | self._reported.keys()
+        return {name: self.total(name, now_s) for name in names}
 
     def total(self, endpoint_id: str, now_s: float) -> Load:
         """Returns the work of all nodes at an endpoint."""
-        load = self.own(endpoint_id)
-        for report in self._reports.values():
-            if now_s <= report.valid_until_s:
-                load += report.loads.get(endpoint_id, Load())
-        return load
+        if now_s <= self._relayed_until_s:
+            others = self._relayed.get(endpoint_id, NO_LOAD)
+            return self.own(endpoint_id) + others
+        if now_s != self._expired_s:
+            self._expired_s = now_s
+            self._expire(now_s)
+        return self.own(endpoint_id) + self._reported.get(endpoint_id, NO_LOAD)
+
+    def _expire(self, now_s: float) -> None:
+        expired = [
+            node
+            for node, report in self._reports.items()
+            if now_s > report.valid_until_s
+        ]
+        for node in expired:
+            self._drop(node)
+
+    def _drop(self, node: str) -> None:
+        report = self._reports.pop(node, None)
+        if report is None:
+            return
+        for endpoint_id, load in report.loads.items():
+            left = self._reported[endpoint_id] - load
+            if left == NO_LOAD:
+                del self._reported[endpoint_id]
+            else:
+                self._reported[endpoint_id] = left
--- a/packages/guavalane-core/tests/test_placement.py
+++ b/packages/guavalane-core/tests/test_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from guavalane_core.forwarding import Engine
 from guavalane_core.placement import (
     Candidate,
@@ -10,6 +12,8 @@
     WorkTable,
     choose_endpoint,
     rank_engines,
+    sample_endpoints,
+    shortlist,
 )
 from guavalane_core.placement.prefixes import LIFE_S, MAX_TOLD
 from guavalane_core.placement.work import Load
@@ -64,6 +68,137 @@
         assert rank(make_prompt()) == []
 
 
+class ManyNodes:
+    """Plays the choices of many nodes that know each other's work by relays.
+
+    The figures are those of the larger grown deployment. Each period the nodes
+    tell their work, and half a period later the sum is told to all.
+
+    Args:
+      choose: Function that returns one of the candidates of a request.
+    """
+
+    NODES = 80
+    ENDPOINTS = 40
+    SLOTS = 12
+    PERIOD_S = 0.25
+    RUN_S = 0.9
+    RATE = 280
+    SECONDS = 20
+    STEP_S = 0.01
+
+    def __init__(self, choose):
+        self._choose = choose
+        self._rng = random.Random(7)
+        self._endpoints = [
+            make_endpoint(f"e-{i}", slots=self.SLOTS)
+            for i in range(self.ENDPOINTS)
+        ]
+        self._tables = [WorkTable() for _ in range(self.NODES)]
+        self._running = []
+        self._told = []
+
+    def play(self):
+        """Returns the part of requests that found no free slot."""
+        found_full = 0
+        requests = 0
+        steps = int(self.SECONDS / self.STEP_S)
+        for step in range(steps):
+            now_s = step * self.STEP_S
+            self._end(now_s)
+            self._report(step, now_s)
+            for _ in range(self._rng.choice((2, 3, 3, 3))):
+                requests += 1
+                found_full += self._send(now_s)
+        return found_full / requests
+
+    def _end(self, now_s):
+        ended = [run for run in self._running if run[0] <= now_s]
+        self._running = [run for run in self._running if run[0] > now_s]
+        for _, table, work in ended:
+            table.finish(work)
+
+    def _report(self, step, now_s):
+        phase = step % int(self.PERIOD_S / self.STEP_S)
+        if phase == 0:
+            self._told = [table.own_loads() for table in self._tables]
+        elif phase == int(self.PERIOD_S / self.STEP_S / 2):
+            total = {}
+            for loads in self._told:
+                for name, load in loads.items():
+                    total[name] = total.get(name, Load()) + load
+            for table, own in zip(self._tables, self._told, strict=True):
+                others = {n: t - own.get(n, Load()) for n, t in total.items()}
+                table.relay(others, now_s + 5)
+
+    def _send(self, now_s):
+        table = self._rng.choice(self._tables)
+        prompt = make_prompt(2000, f"t-{self._rng.randrange(600)}")
+        candidates = [
+            Candidate(e, table.total(e.endpoint_id, now_s))
+            for e in self._endpoints
+        ]
+        chosen = self._choose(candidates, prompt, self._rng)
+        name = chosen.endpoint.endpoint_id
+        at_once = sum(work.endpoint_id == name for _, _, work in self._running)
+        run_s = self.RUN_S * self._rng.uniform(0.5, 1.5)
+        work = table.start(name)
+        self._running.append((now_s + run_s, table, work))
+        return at_once >= self.SLOTS
+
+
+def best_of_all(candidates, prompt, rng):
+    """Returns the best by what the node knows."""
+    del rng
+    ranked = rank_engines(candidates, prompt, ENGINE, EngineRates(), "zone-a")
+    return ranked[0][1]
+
+
+def best_of_shortlist(candidates, prompt, rng):
+    """Returns the best of the shortlist."""
+    chosen, home = shortlist(candidates, prompt, rng)
+    ranked = rank_engines(chosen, prompt, ENGINE, EngineRates(), "zone-a", home)
+    return ranked[0][1]
+
+
+class TestShortlist:
+    """Guards against nodes that all choose the same endpoint."""
+
+    def test_few_requests_find_no_free_slot(self):
+        # 252 of 480 slots are in use in the mean; 95 in 100 requests are to
+        # begin at once.
+        full = ManyNodes(best_of_shortlist).play()
+        assert full < 0.05
+        assert full < 0.5 * ManyNodes(best_of_all).play()
+
+    def test_holders_and_the_home_are_among_them(self):
+        prompt = make_prompt(10_000)
+        candidates = [
+            Candidate(make_endpoint(f"e-{i}"), Load(), 9000 * (i == 17))
+            for i in range(40)
+        ]
+        homes = set()
+        for seed in range(20):
+            chosen, home = shortlist(candidates, prompt, random.Random(seed))
+            assert candidates[17] in chosen
+            assert home in chosen
+            assert len(chosen) <= 6
+            homes.add(home.endpoint.endpoint_id)
+        assert len(homes) == 1
+
+    def test_a_plain_service_compares_two(self):
+        candidates = [
+            Candidate(make_endpoint(f"e-{i}"), Load()) for i in range(4)
+        ]
+        seen = set()
+        for seed in range(40):
+            chosen = sample_endpoints(candidates, random.Random(seed))
+            assert len(chosen) == 2
+            seen.update(c.endpoint.endpoint_id for c in chosen)
+        assert len(seen) == 4
+        assert sample_endpoints([], random.Random(1)) == []
+
+
 class TestChooseEndpoint:
     """Guards against a full endpoint beside an idle one."""
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -53,8 +53,12 @@
 )
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindWatch
+from guavalane_entry.gateway.work_reports import WORK_PERIOD_S, WorkReports
 from guavalane_entry.metrics import Metrics
 
+# Part of their period by which work reports vary, so that the nodes do not send
+# in step.
+WORK_JITTER = 0.2
 # Time between two looks at endpoints whose grace may have ended, in seconds.
 EXPIRY_PERIOD_S = 0.25
 # Time after SIGTERM for which new connections are taken, in seconds: the load
@@ -120,6 +124,7 @@
             self._log,
             self._incarnation,
             lambda: self._duties.held_number(),
+            lambda report: self._work_reports.receive(report),
         )
         self._channels = EndpointChannels()
         codec = RequestCodec(names)
@@ -141,11 +146,20 @@
         self._registration = Registration(
             api, settings, self._incarnation, timers
         )
-        self._relay_server = RelayServer(timers)
+        self._work_reports = WorkReports(
+            settings.name,
+            self._incarnation,
+            self._view.work,
+            lambda: self._relay_link.other_relays(),
+            self._reports.send_to,
+            timers,
+        )
+        self._relay_server = RelayServer(timers, self._work_reports.sum)
         self._relay_link = RelayLink(
             settings.name,
             self._reports.live_peers,
             self._reports.address_of,
+            self._work_reports.take_sum,
             timers,
             self._log,
             rng,
@@ -211,6 +225,12 @@
         self._registration.start()
         self._relay_link.start()
         self._timers.call_every(HEARTBEAT_S, self._relay_server.send_heartbeat)
+        self._timers.call_every(
+            WORK_PERIOD_S,
+            self._work_reports.send,
+            jitter=WORK_JITTER,
+            rng=self._view.rng,
+        )
         self._copies.start()
         self._duties.start()
         self._timers.call_every(EXPIRY_PERIOD_S, self._expire)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/relays.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/relays.py
@@ -24,6 +24,7 @@
     RelayedBatch,
     RelayedObject,
     RelayHeartbeat,
+    RelayLoads,
     decode,
     encode,
 )
@@ -40,7 +41,7 @@
 # In smaller fleets each node follows the object API itself.
 SMALLEST_FLEET = 24
 # Time between two heartbeats of a relay, in seconds.
-HEARTBEAT_S = 0.4
+HEARTBEAT_S = 0.25
 # A relay that was not heard for this time, in seconds, is given up. Together
 # with the age below it stays within the operators' shortest bound on changes.
 SILENT_S = 1.2
@@ -120,10 +121,12 @@
 
     Args:
       timers: Timer service.
+      loads: Function that returns the frame of the work of all nodes.
     """
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(self, timers: Timers, loads: Callable[[], bytes]) -> None:
         self._timers = timers
+        self._loads = loads
         self._followers: dict[web.WebSocketResponse, asyncio.Transport] = {}
         self._versions: dict[str, str] = {}
         self._answered_s: dict[str, float] = {}
@@ -146,9 +149,10 @@
             self.send_heartbeat()
 
     def send_heartbeat(self) -> None:
-        """Tells followers the age of what this node knows."""
+        """Tells followers the age of what this node knows, and all work."""
         if self._followers:
             self._send(self._heartbeat())
+            self._send(self._loads())
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one follower until its connection ends."""
@@ -244,6 +248,7 @@
       name: Name of this node.
       live: Function that returns the live nodes, without this one.
       address_of: Function that returns where a node is reached.
+      on_loads: Called with the work of all nodes.
       timers: Timer service.
       log: Log of decisions.
       rng: Source of random choices.
@@ -254,6 +259,7 @@
         name: str,
         live: Callable[[], Sequence[str]],
         address_of: Callable[[str], str | None],
+        on_loads: Callable[[RelayLoads], None],
         timers: Timers,
         log: DecisionLog,
         rng: random.Random,
@@ -261,6 +267,7 @@
         self._name = name
         self._live = live
         self._address_of = address_of
+        self._on_loads = on_loads
         self._timers = timers
         self._log = log
         self._rng = rng
@@ -294,6 +301,10 @@
         """Returns whether other nodes may follow this one."""
         return self._name in self._relays()
 
+    def other_relays(self) -> list[str]:
+        """Returns the relays of the fleet without this node."""
+        return [name for name in self._relays() if name != self._name]
+
     def covers(self, kind: str, version: str, *, urgent: bool) -> bool:
         """Returns whether the relay tells all changes after a version.
 
@@ -396,6 +407,9 @@
                 self._take_batch(message)
             elif isinstance(message, RelayHeartbeat):
                 self._take_ages(message.ages)
+            elif isinstance(message, RelayLoads):
+                self._on_loads(message)
+                continue
             self._wake()
 
     def _take_batch(self, message: RelayedBatch) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -14,22 +14,22 @@
 from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
     AllotmentUse,
-    EndpointWork,
     MoveOutcomes,
     NodeReport,
     PrefixUse,
     ServiceDemand,
     WindowUsage,
+    WorkReport,
     decode,
     encode,
 )
 from guavalane_core.moves.trial import VersionCount
-from guavalane_core.placement.work import Load
 from guavalane_core.timers import Timers
 from guavalane_core.usage.counts import WindowCount
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.view import NodeView
+from guavalane_entry.gateway.work_reports import from_messages, to_messages
 
 # Time between two reports of a node among few, in seconds.
 REPORT_PERIOD_S = 0.25
@@ -70,6 +70,8 @@
       incarnation: Start of this process, as an ordered number.
       duties: Function that returns the fencing number while this node holds
           the duties, else 0.
+      on_work: Called with the work of another node that takes this one for a
+          relay.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         log: DecisionLog,
         incarnation: int,
         duties: Callable[[], int],
+        on_work: Callable[[WorkReport], None] = lambda report: None,
     ) -> None:
         self._view = view
         self._timers = timers
@@ -86,6 +89,7 @@
         self._incarnation = incarnation
         self._sequence = 0
         self._duties = duties
+        self._on_work = on_work
         # Newest incarnation and sequence, time heard and fencing number of
         # each node.
         self._newest: dict[str, tuple[int, int]] = {}
@@ -166,6 +170,13 @@
             self._transport.sendto(frame, (parsed.host, parsed.port))
         self._share_allotments()
 
+    def send_to(self, node: str, frame: bytes) -> None:
+        """Sends a frame to one node, if it is known."""
+        address = self._view.peers.get(node)
+        if self._transport is not None and address is not None:
+            parsed = Address.parse(address)
+            self._transport.sendto(frame, (parsed.host, parsed.port))
+
     def make(self) -> NodeReport:
         """Returns the next report."""
         view = self._view
@@ -178,14 +189,7 @@
             wall_ms=int(self._timers.wall() * 1000),
             configuration=table.configuration.version if table else 0,
             duties=self._duties(),
-            work=tuple(
-                EndpointWork(
-                    endpoint=endpoint_id,
-                    requests=load.requests,
-                    prefill_tokens=load.prefill_tokens,
-                )
-                for endpoint_id, load in view.work.own_loads().items()
-            ),
+            work=to_messages(view.work.own_loads()),
             allotments=tuple(
                 AllotmentUse(organisation=name, units=max(0, units))
                 for name, units in view.allotments.drawn.items()
@@ -241,6 +245,9 @@
         except MessageError as error:
             self._log.event("peer.invalid", reason=str(error))
             return
+        if isinstance(report, WorkReport):
+            self._on_work(report)
+            return
         if not isinstance(report, NodeReport):
             self._log.event("peer.invalid", reason="not a report")
             return
@@ -261,10 +268,7 @@
         self._heard[node] = now_s
         self._holders[node] = report.duties
         view.clock.observe(node, report.wall_ms / 1000)
-        loads = {
-            work.endpoint: Load(work.requests, work.prefill_tokens)
-            for work in report.work
-        }
+        loads = from_messages(report.work)
         view.work.report(node, loads, now_s + self._silent_s())
         totals = {use.organisation: use.units for use in report.allotments}
         view.allotments.report(node, report.incarnation, totals, now_s)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -5,9 +5,19 @@
 from collections.abc import Collection
 
 from guavalane_core.forwarding import CallerRequest, Endpoint, Service
-from guavalane_core.placement import Candidate, choose_endpoint, rank_engines
+from guavalane_core.placement import (
+    Candidate,
+    choose_endpoint,
+    rank_engines,
+    sample_endpoints,
+    shortlist,
+)
 from guavalane_entry.gateway.view import NodeView
 
+# Nodes up to which each compares all endpoints: they tell each other their
+# work often enough not to choose the same endpoint.
+FEW_NODES = 16
+
 
 def select_endpoint(
     view: NodeView,
@@ -44,13 +54,19 @@
     ]
     zone = view.settings.zone
     if service.engine is None or request.prompt is None:
+        if view.node_count > FEW_NODES:
+            candidates = sample_endpoints(candidates, view.rng)
         return choose_endpoint(candidates, zone)
+    home = None
+    if view.node_count > FEW_NODES:
+        candidates, home = shortlist(candidates, request.prompt, view.rng)
     ranked = rank_engines(
         candidates,
         request.prompt,
         service.engine,
         view.rates(service.name),
         zone,
+        home,
     )
     return ranked[0][1] if ranked else None
 
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -9,7 +9,10 @@
 import pytest
 
 from guavalane_core.exceptions import ObjectApiUnavailableError
+from guavalane_core.messages import WorkReport, decode
 from guavalane_core.objects import ObjectBatch, ObjectEvent, StoredObject
+from guavalane_core.placement import WorkTable
+from guavalane_core.placement.work import Load
 from guavalane_core.timers import LoopTimers
 from guavalane_entry.gateway import relays
 from guavalane_entry.gateway.decision_log import DecisionLog
@@ -25,6 +28,7 @@
     choose_relays,
 )
 from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.work_reports import VALID_S, WorkReports
 from guavalane_standins.processes import free_port
 
 KIND = "servers"
@@ -115,11 +119,21 @@
         self.name = name
         self.seen = []
         self.address = Address("127.0.0.1", free_port())
-        self.server = RelayServer(timers)
+        self.work = WorkTable()
+        self.work_reports = WorkReports(
+            name,
+            1,
+            self.work,
+            lambda: self.link.other_relays(),
+            self.send_work,
+            timers,
+        )
+        self.server = RelayServer(timers, self.work_reports.sum)
         self.link = RelayLink(
             name,
             lambda: [peer for peer in fleet if peer != name],
             fleet.get,
+            self.work_reports.take_sum,
             timers,
             DecisionLog(name, timers.wall),
             random.Random(1),
@@ -135,6 +149,11 @@
         )
         self._task = None
 
+    def send_work(self, relay, frame):
+        """Sends a frame to one of the nodes of the test."""
+        if relay in NODES:
+            NODES[relay].work_reports.receive(decode(frame))
+
     async def start(self):
         """Starts to serve, and to follow the kind."""
         await self._listener.start()
@@ -169,12 +188,18 @@
         await wait_until(lambda: name in self.seen, timeout_s)
 
 
+# Nodes of the running test by name.
+NODES = {}
+
+
 @pytest.fixture
 async def pair():
     """Yields the object API, a relay and a node that follows it."""
     store = Store()
     fleet = dict.fromkeys(FLEET)
     nodes = [Node(name, store, fleet) for name in (RELAY, FOLLOWER)]
+    NODES.clear()
+    NODES.update((node.name, node) for node in nodes)
     for node in nodes:
         fleet[node.name] = str(node.address)
         await node.start()
@@ -207,6 +232,52 @@
         assert choose_relays(without)[: RELAYS - 1] == chosen[1:]
 
 
+class TestRelayedWork:
+    """Guards against requests that are placed by old or doubled loads."""
+
+    async def tell(self, *nodes):
+        """Lets nodes tell their work, and the relay its sum."""
+        for node in nodes:
+            node.work_reports.send()
+        await asyncio.sleep(3 * HEARTBEAT_S)
+
+    async def test_a_follower_knows_the_work_of_all(self, pair):
+        _, relay, follower = pair
+        mine = follower.work.start("e-1", 500)
+        relay.work.start("e-1", 100)
+        relay.work.start("e-2")
+        now_s = LoopTimers().now
+        await self.tell(follower)
+        assert follower.work.total("e-1", now_s()) == Load(2, 600)
+        assert follower.work.total("e-2", now_s()) == Load(1)
+        assert relay.work.total("e-1", now_s()) == Load(2, 600)
+        # What this node has begun or ended since counts at once.
+        follower.work.start("e-2")
+        follower.work.finish(mine)
+        assert follower.work.total("e-2", now_s()) == Load(2)
+        assert follower.work.total("e-1", now_s()) == Load(1, 100)
+
+    async def test_without_a_relay_the_reports_count_again(self, pair):
+        _, relay, follower = pair
+        relay.work.start("e-1")
+        await self.tell(follower)
+        now_s = LoopTimers().now
+        follower.work.report(RELAY, {"e-1": Load(5)}, now_s() + 60)
+        assert follower.work.total("e-1", now_s()) == Load(1)
+        relay.freeze()
+        await asyncio.sleep(VALID_S + 0.1)
+        assert follower.work.total("e-1", now_s()) == Load(5)
+
+    async def test_an_older_report_changes_nothing(self, pair):
+        _, relay, follower = pair
+        old = WorkReport(node=FOLLOWER, incarnation=1, sequence=1, work=())
+        follower.work.start("e-1")
+        follower.work_reports.send()
+        follower.work_reports.send()
+        relay.work_reports.receive(old)
+        assert relay.work.total("e-1", LoopTimers().now()) == Load(1)
+
+
 class TestRelayedChanges:
     """Guards against changes that come late, twice or not at all."""
 
