Read stored objects in one place, and a prompt's cached tokens once

Each sink handled unreadable objects by itself, and an attempt looked up the cached tokens that its candidate already holds. The last report of a node that stops goes to all nodes at once, since its process ends.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -176,7 +176,7 @@
         progress.last_status = None
         began_s = now_s = self._now()
         view.ejector.on_chosen(endpoint.endpoint_id, now_s)
-        prefill_tokens = self._prefill_tokens(endpoint, now_s)
+        prefill_tokens = self._prefill_tokens(candidate, now_s)
         work = view.work.start(endpoint.endpoint_id, prefill_tokens)
         view.add_sent(self._admitted.service.name, prefill_tokens)
         if progress.arrivals:
@@ -238,15 +238,13 @@
             elapsed_s=max(0.0, end_s - began_s),
         )
 
-    def _prefill_tokens(self, endpoint: Endpoint, now_s: float) -> int:
+    def _prefill_tokens(self, candidate: Candidate, now_s: float) -> int:
         prompt = self._request.prompt
         if prompt is None:
             return 0
-        cached = self._view.prefixes.cached_tokens(
-            endpoint.endpoint_id, prompt, now_s
-        )
-        self._view.prefixes.record(endpoint.endpoint_id, prompt, now_s)
-        return prompt.input_tokens - cached
+        endpoint_id = candidate.endpoint.endpoint_id
+        self._view.prefixes.record(endpoint_id, prompt, now_s)
+        return prompt.input_tokens - candidate.cached_tokens
 
     def _count_run(self) -> None:
         organisation = self._admitted.organisation
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -127,9 +127,11 @@
         self.send()
 
     def stop(self) -> None:
-        """Sends a last report and closes the socket."""
+        """Sends a last report to all at once and closes the socket."""
         if self._transport is not None:
-            self.send()
+            frame = encode(self.make())
+            for peer in self._view.peers:
+                self.send_to(peer, frame)
             self._transport.close()
             self._transport = None
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeVar
 
 from guavalane_core.exceptions import ConfigurationError
 from guavalane_core.forwarding import (
@@ -15,10 +16,30 @@
 from guavalane_entry.gateway.view import NodeView
 
 ConfigurationDecoder = Callable[[StoredObject], ForwardingConfiguration]
+T = TypeVar("T")
 EndpointDecoder = Callable[[StoredObject], Endpoint]
 MoveDecoder = Callable[[StoredObject], VersionMove]
 
 
+def _read(
+    decode: Callable[[StoredObject], T],
+    stored: StoredObject,
+    on_mistake: Callable[[str], None],
+) -> T | None:
+    """Returns what an object holds; None if it cannot be understood.
+
+    Args:
+      decode: Function that reads the object.
+      stored: Object.
+      on_mistake: Called with the reason if it cannot be understood.
+    """
+    try:
+        return decode(stored)
+    except ConfigurationError as error:
+        on_mistake(str(error))
+        return None
+
+
 class ConfigurationSink:
     """Puts each newer configuration in force.
 
@@ -57,12 +78,14 @@
         """Keeps the configuration in force."""
 
     def _take(self, stored: StoredObject) -> None:
-        try:
-            configuration = self._decode(stored)
-        except ConfigurationError as error:
-            self._log.event(
-                "configuration.ignored", name=stored.name, reason=str(error)
-            )
+        configuration = _read(
+            self._decode,
+            stored,
+            lambda reason: self._log.event(
+                "configuration.ignored", name=stored.name, reason=reason
+            ),
+        )
+        if configuration is None:
             return
         in_force = self._view.offer(configuration)
         self._log.event(
@@ -139,13 +162,13 @@
         return endpoints
 
     def _read(self, stored: StoredObject) -> Endpoint | None:
-        try:
-            return self._decode(stored)
-        except ConfigurationError as error:
-            self._log.event(
-                "endpoint.ignored", endpoint=stored.name, reason=str(error)
-            )
-            return None
+        return _read(
+            self._decode,
+            stored,
+            lambda reason: self._log.event(
+                "endpoint.ignored", endpoint=stored.name, reason=reason
+            ),
+        )
 
     def _note(self, endpoint: Endpoint) -> None:
         name = endpoint.endpoint_id
@@ -257,10 +280,14 @@
         """Keeps the moves that are known."""
 
     def _take(self, stored: StoredObject) -> None:
-        try:
-            move = self._decode(stored)
-        except ConfigurationError as error:
-            self._log.event("move.ignored", name=stored.name, reason=str(error))
+        move = _read(
+            self._decode,
+            stored,
+            lambda reason: self._log.event(
+                "move.ignored", name=stored.name, reason=reason
+            ),
+        )
+        if move is None:
             return
         self._view.moves.offer(move, self._view.timers.now())
         self._log.event(
