Plan for the allotments until the load is known

The time since the first prompt is that of the node, so a successor in the duties does not order anew.

--- a/packages/guavalane-core/src/guavalane_core/fleet/replica_demand.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replica_demand.py
@@ -76,6 +76,7 @@
         self._totals: dict[tuple[str, int], DemandTotals] = {}
         self._pending = DemandTotals()
         self._updated_s = now_s
+        self._loaded_since_s: float | None = None
         self._requests = _Series()
         self._tokens = _Series()
 
@@ -98,10 +99,22 @@
         if elapsed_s > 0:
             pending, self._pending = self._pending, DemandTotals()
             self._updated_s = now_s
+            if pending.read_tokens and self._loaded_since_s is None:
+                self._loaded_since_s = now_s
             self._requests.add(pending.requests / elapsed_s, elapsed_s)
             self._tokens.add(pending.read_tokens / elapsed_s, elapsed_s)
         return DemandRates(self._requests.value, self._tokens.value)
 
+    def loaded_s(self, now_s: float) -> float:
+        """Returns the time since the first prompt was seen; 0 before it.
+
+        Requests without a prompt, such as those that test a route, say
+        nothing about the load to come.
+        """
+        if self._loaded_since_s is None:
+            return 0.0
+        return now_s - self._loaded_since_s
+
     def forget(self, processes: Iterable[tuple[str, int]]) -> None:
         """Drops processes that have ended."""
         for key in processes:
--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -23,9 +23,9 @@
 # Zones whose reclaimable endpoints may be lost before others have booted. A
 # wave of reclaims reaches a second zone within the boot time.
 LOST_ZONES = 2
-# Part of the endpoints found at the start that is planned for until the load is
-# known. Operators have sized them for a load that has not come yet.
-KEPT_PART = 0.25
+# Part of the organisations' allotments that is planned for until the load is
+# known. Operators grant more than what is used in the mean.
+ALLOTTED_PART = 0.4
 # Time from the first request, besides the boot time, until the load is taken as
 # known, in seconds; two time constants of the fast average of demand.
 LEARNING_S = 4.0
@@ -53,18 +53,25 @@
       concurrent: Requests that run at once.
       endpoint_read_tokens_per_s: What one endpoint reads per second.
       endpoint_slots: Requests that one endpoint runs at once.
+      allotted_tokens_per_s: Tokens per second that organisations may use.
+      loaded_s: Time since the first request, in seconds.
     """
 
     read_tokens_per_s: float
     concurrent: float
     endpoint_read_tokens_per_s: float
     endpoint_slots: int
+    allotted_tokens_per_s: float = 0.0
+    loaded_s: float = math.inf
+
+    def endpoints_for(self, read_tokens_per_s: float) -> int:
+        """Returns the endpoints that read this many tokens per second."""
+        capacity = self.endpoint_read_tokens_per_s * READ_UTILISATION
+        return math.ceil(read_tokens_per_s / capacity)
 
     def endpoints(self) -> int:
         """Returns the endpoints that carry the load, at least one."""
-        reading = self.read_tokens_per_s / (
-            self.endpoint_read_tokens_per_s * READ_UTILISATION
-        )
+        reading = self.endpoints_for(self.read_tokens_per_s)
         running = self.concurrent / (self.endpoint_slots * SLOT_UTILISATION)
         return max(1, math.ceil(max(reading, running)))
 
@@ -112,8 +119,6 @@
         self._zones = sorted(zones, key=self._price)
         self._placed: dict[tuple[str, bool], _Placed] = {}
         self._enough_since_s: float | None = None
-        self._kept: int | None = None
-        self._loaded_since_s: float | None = None
 
     def on_accepted(self, order: ReplicaOrder, now_s: float) -> None:
         """Takes note of an order that the platform took."""
@@ -140,9 +145,7 @@
         """
         self._note_reclaims(endpoints, now_s)
         present = self._count(endpoints)
-        needed = max(
-            need.endpoints(), self._kept_endpoints(present, need, now_s)
-        )
+        needed = max(need.endpoints(), self._expected_endpoints(need))
         targets = self._targets(present, needed, now_s)
         orders = []
         for (zone, reclaimable), count in targets.items():
@@ -154,26 +157,15 @@
         orders.sort(key=lambda order: order.count == 0)
         return orders
 
-    def _kept_endpoints(
-        self,
-        present: Mapping[tuple[str, bool], int],
-        need: ReplicaNeed,
-        now_s: float,
-    ) -> int:
+    def _expected_endpoints(self, need: ReplicaNeed) -> int:
         """Returns the endpoints to plan for until the load is known.
 
-        Without requests the load seems to need one endpoint; those that were
-        there at the start would be gone when the callers come.
+        Without requests the load seems to need one endpoint, and those for the
+        first callers would only begin to boot when these come.
         """
-        if self._kept is None:
-            self._kept = math.ceil(KEPT_PART * sum(present.values()))
-        if self._loaded_since_s is None:
-            if not need.concurrent and not need.read_tokens_per_s:
-                return self._kept
-            self._loaded_since_s = now_s
-        learning_s = LEARNING_S + self._replicas.boot_s
-        known = now_s - self._loaded_since_s >= learning_s
-        return 0 if known else self._kept
+        if need.loaded_s >= LEARNING_S + self._replicas.boot_s:
+            return 0
+        return need.endpoints_for(ALLOTTED_PART * need.allotted_tokens_per_s)
 
     def _price(self, zone: str) -> tuple[float, str]:
         return self._replicas.zone_prices.get(zone, 1.0), zone
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -59,7 +59,8 @@
 
     def _need(self, service: Service, now_s: float) -> ReplicaNeed:
         view = self._view
-        rates = view.demand(service.name).update(now_s)
+        demand = view.demand(service.name)
+        rates = demand.update(now_s)
         concurrent = sum(
             view.work.total(endpoint.endpoint_id, now_s).requests
             for endpoint in view.directory.all_of(service.name)
@@ -71,8 +72,14 @@
                 service.name
             ).prefill_tokens_per_s,
             endpoint_slots=service.engine.slots,
+            allotted_tokens_per_s=self._allotted_tokens_per_s(),
+            loaded_s=demand.loaded_s(now_s),
         )
 
+    def _allotted_tokens_per_s(self) -> float:
+        organisations = self._view.table.configuration.organisations or ()
+        return sum(o.rate_per_s for o in organisations if o.counts_tokens)
+
     def _planner(self, service: Service, zones: list[str]) -> ReplicaPlanner:
         known = self._planners.get(service.name)
         if known is not None and known[0] == service.replicas:
