--- a/bench/bench_control.py
+++ b/bench/bench_control.py
@@ -30,7 +30,7 @@
 from guavalane_core.objects import BudgetedObjectApi, MemoryObjectApi
 from guavalane_core.objects.api import MAX_VALUE_BYTES
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.objects_http import WATCH_S
+from guavalane_entry.store.objects_http import WATCH_S
 from guavalane_standins.cluster import ZONES, Cluster
 from guavalane_standins.processes import ProcessGroup
 
--- a/bench/bench_limits.py
+++ b/bench/bench_limits.py
@@ -20,10 +20,10 @@
 from guavalane_core.requests import RequestContext
 from guavalane_core.settings import LimitSettings
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.admission import Admission, EndpointLimits
+from guavalane_entry.callers.admission import Admission, EndpointLimits
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.endpoints.retrying import RetryRules
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.pool import EndpointPool
-from guavalane_entry.retrying import RetryRules
 
 ROUNDS = 20_000
 # Requests per second and part of a core for control, on one node.
--- a/bench/bench_moves.py
+++ b/bench/bench_moves.py
@@ -41,7 +41,7 @@
     window_of,
 )
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.moves import REPORTERS
+from guavalane_entry.moves.mover import REPORTERS
 
 OLD, NEW = "v1", "v2"
 ROUTES = ("chat", "plans")
--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -18,7 +18,7 @@
 from guavalane_core.requests.prompt import Prompt
 from guavalane_core.routing import POLICIES, CacheChange
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.pool import EndpointPool
+from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_standins.routing_replay import (
     RoutingOutcome,
     RoutingReplay,
--- a/bench/control_system.py
+++ b/bench/control_system.py
@@ -27,10 +27,10 @@
 )
 from guavalane_core.settings import parse_settings
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.configuration import ConfigurationKeeper
-from guavalane_entry.membership import MembershipKeeper
 from guavalane_entry.node import RANDOM_BITS
-from guavalane_entry.sharing import ConfigurationSharing
+from guavalane_entry.peers.membership import MembershipKeeper
+from guavalane_entry.store.configuration import ConfigurationKeeper
+from guavalane_entry.store.sharing import ConfigurationSharing
 from guavalane_standins.objects import to_event, to_partial, to_resource
 
 ZONES = 9
@@ -118,7 +118,7 @@
 
 @attrs.define
 class LinkedPeer:
-    """The other side of a connection; see `guavalane_entry.peers.Peer`."""
+    """The other side of a connection; see `peers.connections.Peer`."""
 
     name: str
     incarnation: int
--- a/packages/guavalane-cli/src/guavalane_cli/trace.py
+++ b/packages/guavalane-cli/src/guavalane_cli/trace.py
@@ -31,9 +31,9 @@
 )
 from guavalane_core.routing import EndpointView
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.configuration import KIND, NAME, ConfigurationKeeper
-from guavalane_entry.move_commands import MoveCommands
-from guavalane_entry.moves import LEASE, MoveRunner
+from guavalane_entry.moves.commands import MoveCommands
+from guavalane_entry.moves.mover import LEASE, MoveRunner
+from guavalane_entry.store.configuration import KIND, NAME, ConfigurationKeeper
 
 STEP_S = 0.5
 SEED = 1
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Servers for callers and what they answer with."""
--- a/packages/guavalane-entry/src/guavalane_entry/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/admission.py
@@ -25,9 +25,9 @@
 from guavalane_core.routing import EndpointView
 from guavalane_core.settings import LimitSettings
 from guavalane_core.timers import Subscription, Timers
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.endpoints.retrying import RetryRules
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.pool import EndpointPool
-from guavalane_entry.retrying import RetryRules
 
 # Interval at which waiting requests are looked at although none ended, since
 # endpoints return and limits grow without an event of this module.
--- a/packages/guavalane-entry/src/guavalane_entry/calls.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/calls.py
@@ -10,10 +10,10 @@
 from guavalane_core.exceptions import AttemptError
 from guavalane_core.requests import RequestContext
 from guavalane_core.routing import EndpointView
-from guavalane_entry.admission import EndpointLimits
-from guavalane_entry.endpoint_client import EndpointClient, ServiceAnswer
+from guavalane_entry.callers.admission import EndpointLimits
+from guavalane_entry.endpoints.client import EndpointClient, ServiceAnswer
+from guavalane_entry.endpoints.retrying import RetryRules
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.retrying import RetryRules
 
 
 class DispatchGuard(Protocol):
--- a/packages/guavalane-entry/src/guavalane_entry/chat.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/chat.py
@@ -26,10 +26,10 @@
     parse_prompt_usage,
     renumber,
 )
-from guavalane_entry.admission import EndpointLimits
-from guavalane_entry.endpoint_client import DONE_EVENT, EndpointClient
+from guavalane_entry.callers.admission import EndpointLimits
+from guavalane_entry.endpoints.client import DONE_EVENT, EndpointClient
+from guavalane_entry.endpoints.retrying import RetryRules
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.retrying import RetryRules
 
 FINISH_EVENT = (
     b'data: {"object":"chat.completion.chunk","choices":'
--- a/packages/guavalane-entry/src/guavalane_entry/event_writer.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/event_writer.py
@@ -9,7 +9,7 @@
 from sanic.exceptions import RequestCancelled, SanicException
 from sanic.response import HTTPResponse
 
-from guavalane_entry.chat import DONE_EVENT, StreamEvent
+from guavalane_entry.callers.chat import DONE_EVENT, StreamEvent
 
 # Unsent bytes above which a write waits for the caller; sanic resumes writing
 # below the same figure.
--- a/packages/guavalane-entry/src/guavalane_entry/server.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/server.py
@@ -30,19 +30,19 @@
 )
 from guavalane_core.settings import NodeSettings
 from guavalane_core.timers import Timers
-from guavalane_entry.admission import Admission
-from guavalane_entry.at_most_once import AtMostOnceRunner
-from guavalane_entry.calls import CallRunner
-from guavalane_entry.chat import DONE_EVENT, StreamEvent, parse_chat
-from guavalane_entry.durable import DurableRunner
-from guavalane_entry.endpoint_client import ServiceAnswer
-from guavalane_entry.event_writer import EventWriter
-from guavalane_entry.executions import Executions
-from guavalane_entry.lookup import Found, RequestLookup
+from guavalane_entry.callers.admission import Admission
+from guavalane_entry.callers.calls import CallRunner
+from guavalane_entry.callers.chat import DONE_EVENT, StreamEvent, parse_chat
+from guavalane_entry.callers.event_writer import EventWriter
+from guavalane_entry.callers.stream_log import LogReader
+from guavalane_entry.callers.web import PROBLEM_TYPE, WebServer, problem_body
+from guavalane_entry.endpoints.client import ServiceAnswer
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.runs import SERVED_BY, Run, RunTable
-from guavalane_entry.stream_log import LogReader
-from guavalane_entry.web import PROBLEM_TYPE, WebServer, problem_body
+from guavalane_entry.requests.at_most_once import AtMostOnceRunner
+from guavalane_entry.requests.durable import DurableRunner
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.lookup import Found, RequestLookup
+from guavalane_entry.requests.runs import SERVED_BY, Run, RunTable
 
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 REQUEST_ID = "X-Request-Id"
--- a/packages/guavalane-entry/src/guavalane_entry/stream_log.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/stream_log.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from guavalane_core.requests import pack_bytes, unpack_bytes
-from guavalane_entry.chat import StreamEvent
+from guavalane_entry.callers.chat import StreamEvent
 
 # Events that a reader far behind gets at once, so that no write is large.
 MAX_BATCH_EVENTS = 64
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints that a node uses, and attempts at them."""
--- a/packages/guavalane-entry/src/guavalane_entry/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -20,9 +20,9 @@
 from guavalane_core.routing import EndpointView
 from guavalane_core.streams import parse_prompt_usage
 from guavalane_core.timers import Timers
-from guavalane_entry.admission import EndpointLimits
+from guavalane_entry.callers.admission import EndpointLimits
+from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_session import make_session
-from guavalane_entry.pool import EndpointPool
 
 CONNECT_LIMIT_S = 1.0
 SHORTEST_ATTEMPT_S = 0.001
--- a/packages/guavalane-entry/src/guavalane_entry/load.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/load.py
@@ -11,7 +11,7 @@
 
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
-from guavalane_entry.pool import EndpointPool
+from guavalane_entry.endpoints.pool import EndpointPool
 
 RUNNING_METRIC = "vllm:num_requests_running"
 WAITING_METRIC = "vllm:num_requests_waiting"
--- a/packages/guavalane-entry/src/guavalane_entry/pool.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/pool.py
@@ -22,7 +22,7 @@
 )
 from guavalane_core.streams import PromptUsage
 from guavalane_core.timers import Timers
-from guavalane_entry.vm_list import ListedVm
+from guavalane_entry.fleet.vm_list import ListedVm
 
 Shares = Callable[[str], dict[str, float]]
 
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""VMs: planning, orders to the cloud API, and notices."""
--- a/packages/guavalane-entry/src/guavalane_entry/fleet.py
+++ b/packages/guavalane-entry/src/guavalane_entry/fleet/planning.py
@@ -32,8 +32,8 @@
 from guavalane_core.objects import ConditionalWriter, ObjectApi
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
+from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_session import make_session
-from guavalane_entry.pool import EndpointPool
 
 KIND = "fleets"
 LEASE_NAME = "fleet-planner"
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves on one node."""
--- a/packages/guavalane-entry/src/guavalane_entry/move_commands.py
+++ b/packages/guavalane-entry/src/guavalane_entry/moves/commands.py
@@ -31,12 +31,12 @@
 from guavalane_core.objects import StoredObject
 from guavalane_core.schema import options
 from guavalane_core.timers import Timers
-from guavalane_entry.configuration import ConfigurationKeeper
-from guavalane_entry.moves import (
+from guavalane_entry.moves.mover import (
     MoveRunner,
     changed_shares,
     configured_shares,
 )
+from guavalane_entry.store.configuration import ConfigurationKeeper
 
 NAME_BYTES = 3
 # Longest wait for a configuration that another node has stored, in seconds.
--- a/packages/guavalane-entry/src/guavalane_entry/move_links.py
+++ b/packages/guavalane-entry/src/guavalane_entry/moves/links.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from guavalane_entry.membership import MembershipKeeper
-from guavalane_entry.peers import PeerLinks
+from guavalane_entry.peers.connections import PeerLinks
+from guavalane_entry.peers.membership import MembershipKeeper
 
 
 class Links(Protocol):
--- a/packages/guavalane-entry/src/guavalane_entry/moves.py
+++ b/packages/guavalane-entry/src/guavalane_entry/moves/mover.py
@@ -49,9 +49,9 @@
 from guavalane_core.objects import ObjectApi
 from guavalane_core.routing import EndpointView
 from guavalane_core.timers import Timers
-from guavalane_entry.configuration import ConfigurationKeeper
-from guavalane_entry.move_links import Links
-from guavalane_entry.move_records import MoveRecordStore
+from guavalane_entry.moves.links import Links
+from guavalane_entry.moves.records import MoveRecordStore
+from guavalane_entry.store.configuration import ConfigurationKeeper
 
 LEASE = "move-leader"
 TICK_S = 1.0
--- a/packages/guavalane-entry/src/guavalane_entry/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/node.py
@@ -26,39 +26,41 @@
 from guavalane_core.settings import NodeSettings
 from guavalane_core.settings.loader import parse_json
 from guavalane_core.timers import LoopTimers
-from guavalane_entry import dump, move_commands, order_commands
-from guavalane_entry.admission import Admission, EndpointLimits
-from guavalane_entry.at_most_once import AtMostOnceRunner
-from guavalane_entry.calls import CallRunner
-from guavalane_entry.chat import ChatRunner
-from guavalane_entry.configuration import ConfigurationKeeper
-from guavalane_entry.durable import DurableRunner
-from guavalane_entry.executions import Executions
-from guavalane_entry.fleet import LEASE_NAME, CloudClient, FleetRunner
-from guavalane_entry.handover import HandoverCoordinator
-from guavalane_entry.load import LoadPoller
-from guavalane_entry.lookup import RequestLookup
-from guavalane_entry.membership import MembershipKeeper
+from guavalane_entry.callers.admission import Admission, EndpointLimits
+from guavalane_entry.callers.calls import CallRunner
+from guavalane_entry.callers.chat import ChatRunner
+from guavalane_entry.callers.server import CallerServer
+from guavalane_entry.endpoints.load import LoadPoller
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.endpoints.retrying import RetryRules
+from guavalane_entry.fleet.notices import NoticeWatcher
+from guavalane_entry.fleet.planning import LEASE_NAME, CloudClient, FleetRunner
+from guavalane_entry.fleet.vm_list import VmListWatcher
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.move_commands import MoveCommands
-from guavalane_entry.move_links import MemberLinks
-from guavalane_entry.moves import LEASE, MoveRunner
-from guavalane_entry.notices import NoticeWatcher
-from guavalane_entry.objects_http import HttpObjectApi
-from guavalane_entry.operators import OperatorServer
-from guavalane_entry.order_commands import OrderCommands
-from guavalane_entry.orders import LEASE as ORDER_LEASE
-from guavalane_entry.orders import OrderRunner
-from guavalane_entry.orders_http import HttpEngineOrders
-from guavalane_entry.peers import PeerLinks
-from guavalane_entry.pool import EndpointPool
-from guavalane_entry.recording import RecordingClient
-from guavalane_entry.retention import RetentionRunner
-from guavalane_entry.retrying import RetryRules
-from guavalane_entry.runs import RunTable
-from guavalane_entry.server import CallerServer
-from guavalane_entry.sharing import ConfigurationSharing
-from guavalane_entry.vm_list import VmListWatcher
+from guavalane_entry.moves import commands as move_commands
+from guavalane_entry.moves.commands import MoveCommands
+from guavalane_entry.moves.links import MemberLinks
+from guavalane_entry.moves.mover import LEASE, MoveRunner
+from guavalane_entry.operators import dump
+from guavalane_entry.operators.server import OperatorServer
+from guavalane_entry.orders import commands as order_commands
+from guavalane_entry.orders.commands import OrderCommands
+from guavalane_entry.orders.http import HttpEngineOrders
+from guavalane_entry.orders.issuing import LEASE as ORDER_LEASE
+from guavalane_entry.orders.issuing import OrderRunner
+from guavalane_entry.peers.connections import PeerLinks
+from guavalane_entry.peers.membership import MembershipKeeper
+from guavalane_entry.requests.at_most_once import AtMostOnceRunner
+from guavalane_entry.requests.durable import DurableRunner
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.handover import HandoverCoordinator
+from guavalane_entry.requests.lookup import RequestLookup
+from guavalane_entry.requests.recording import RecordingClient
+from guavalane_entry.requests.retention import RetentionRunner
+from guavalane_entry.requests.runs import RunTable
+from guavalane_entry.store.configuration import ConfigurationKeeper
+from guavalane_entry.store.objects_http import HttpObjectApi
+from guavalane_entry.store.sharing import ConfigurationSharing
 
 # Part of the notice that is kept for handing over and closing, in seconds.
 NOTICE_RESERVE_S = 3.0
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Server for operators, and reports of a node's state."""
--- a/packages/guavalane-entry/src/guavalane_entry/operators.py
+++ b/packages/guavalane-entry/src/guavalane_entry/operators/server.py
@@ -14,10 +14,10 @@
 from guavalane_core.configuration import ConfigurationState
 from guavalane_core.exceptions import InvalidRequestError, UnauthorizedError
 from guavalane_core.settings import NodeSettings
-from guavalane_entry.configuration import ConfigurationKeeper
+from guavalane_entry.callers.web import WebServer
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.sharing import ConfigurationSharing
-from guavalane_entry.web import WebServer
+from guavalane_entry.store.configuration import ConfigurationKeeper
+from guavalane_entry.store.sharing import ConfigurationSharing
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to model engines."""
--- a/packages/guavalane-entry/src/guavalane_entry/order_commands.py
+++ b/packages/guavalane-entry/src/guavalane_entry/orders/commands.py
@@ -28,7 +28,11 @@
     Intent,
     IntentStore,
 )
-from guavalane_entry.orders import OrderRunner, is_model_engine, load_rate
+from guavalane_entry.orders.issuing import (
+    OrderRunner,
+    is_model_engine,
+    load_rate,
+)
 
 ROLES = ("both", "decode", "prefill")
 # Names that the object API takes for an object.
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between entry nodes and their member list."""
--- a/packages/guavalane-entry/src/guavalane_entry/membership.py
+++ b/packages/guavalane-entry/src/guavalane_entry/peers/membership.py
@@ -28,8 +28,8 @@
 )
 from guavalane_core.settings import NodeSettings
 from guavalane_core.timers import Timers
-from guavalane_entry.peers import Peer, PeerLinks
-from guavalane_entry.vm_list import ListedVm
+from guavalane_entry.fleet.vm_list import ListedVm
+from guavalane_entry.peers.connections import Peer, PeerLinks
 
 # Seeds are dialled this often before and after the first contact, in seconds.
 SEED_ALONE_S = 1.0
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that outlive their connection or run at most once."""
--- a/packages/guavalane-entry/src/guavalane_entry/at_most_once.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/at_most_once.py
@@ -34,9 +34,9 @@
 )
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
-from guavalane_entry.calls import CallRunner
-from guavalane_entry.endpoint_client import ServiceAnswer
-from guavalane_entry.executions import Executions
+from guavalane_entry.callers.calls import CallRunner
+from guavalane_entry.endpoints.client import ServiceAnswer
+from guavalane_entry.requests.executions import Executions
 
 # The caller waits this long for its answer to be stored, in seconds; after
 # that it gets the answer while storing goes on.
--- a/packages/guavalane-entry/src/guavalane_entry/durable.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/durable.py
@@ -36,11 +36,11 @@
 )
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
-from guavalane_entry.admission import Admission
-from guavalane_entry.chat import parse_chat
-from guavalane_entry.executions import Executions
-from guavalane_entry.membership import MembershipKeeper
-from guavalane_entry.runs import Run, RunTable, problem_answer
+from guavalane_entry.callers.admission import Admission
+from guavalane_entry.callers.chat import parse_chat
+from guavalane_entry.peers.membership import MembershipKeeper
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.runs import Run, RunTable, problem_answer
 
 # The caller waits this long for its answer to be stored, in seconds; after
 # that it gets the answer while storing goes on.
--- a/packages/guavalane-entry/src/guavalane_entry/handover.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/handover.py
@@ -12,13 +12,13 @@
 from guavalane_core.requests import RequestContext, RouteTable, rank_nodes
 from guavalane_core.streams import StreamSplice
 from guavalane_core.timers import Timers
-from guavalane_entry.chat import DONE_EVENT, parse_chat
-from guavalane_entry.durable import DurableRunner
-from guavalane_entry.executions import Executions
-from guavalane_entry.membership import MembershipKeeper
-from guavalane_entry.peers import Peer, PeerLinks
-from guavalane_entry.runs import Run, RunTable
-from guavalane_entry.stream_log import pack_events, unpack_events
+from guavalane_entry.callers.chat import DONE_EVENT, parse_chat
+from guavalane_entry.callers.stream_log import pack_events, unpack_events
+from guavalane_entry.peers.connections import Peer, PeerLinks
+from guavalane_entry.peers.membership import MembershipKeeper
+from guavalane_entry.requests.durable import DurableRunner
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.runs import Run, RunTable
 
 # A peer that does not accept a request in this time is passed over.
 ACK_LIMIT_S = 0.8
--- a/packages/guavalane-entry/src/guavalane_entry/lookup.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/lookup.py
@@ -21,20 +21,20 @@
 from guavalane_core.messages import RequestQuery, RequestReply
 from guavalane_core.records import Record
 from guavalane_core.requests import StoredAnswer, rank_nodes
-from guavalane_entry.chat import StreamEvent
-from guavalane_entry.durable import DurableRunner
-from guavalane_entry.executions import Executions
-from guavalane_entry.membership import MembershipKeeper
-from guavalane_entry.peers import Peer, PeerLinks
-from guavalane_entry.runs import Run, RunTable
-from guavalane_entry.stream_log import (
+from guavalane_entry.callers.chat import StreamEvent
+from guavalane_entry.callers.stream_log import (
     LogReader,
     StreamLog,
     first_after,
     pack_events,
     unpack_events,
 )
-from guavalane_entry.web import problem_body
+from guavalane_entry.callers.web import problem_body
+from guavalane_entry.peers.connections import Peer, PeerLinks
+from guavalane_entry.peers.membership import MembershipKeeper
+from guavalane_entry.requests.durable import DurableRunner
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.runs import Run, RunTable
 
 # A holder answers a query at the latest after this time, in seconds.
 HOLD_S = 1.0
--- a/packages/guavalane-entry/src/guavalane_entry/recording.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/recording.py
@@ -8,14 +8,14 @@
 from guavalane_core.requests import RequestContext
 from guavalane_core.routing import EndpointView
 from guavalane_core.timers import Timers
-from guavalane_entry.admission import EndpointLimits
-from guavalane_entry.endpoint_client import (
+from guavalane_entry.callers.admission import EndpointLimits
+from guavalane_entry.endpoints.client import (
     DONE_EVENT,
     EndpointClient,
     EventReader,
     ServiceAnswer,
 )
-from guavalane_entry.pool import EndpointPool
+from guavalane_entry.endpoints.pool import EndpointPool
 
 STATUS_OK = 200
 STATUS_REJECTED = 400
--- a/packages/guavalane-entry/src/guavalane_entry/runs.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/runs.py
@@ -23,11 +23,11 @@
 from guavalane_core.streams import StreamSplice
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
-from guavalane_entry.calls import CallRunner
-from guavalane_entry.chat import DONE_EVENT, ChatRunner, StreamEvent
-from guavalane_entry.executions import Executions
-from guavalane_entry.stream_log import StreamLog, pack_events
-from guavalane_entry.web import PROBLEM_TYPE, problem_body
+from guavalane_entry.callers.calls import CallRunner
+from guavalane_entry.callers.chat import DONE_EVENT, ChatRunner, StreamEvent
+from guavalane_entry.callers.stream_log import StreamLog, pack_events
+from guavalane_entry.callers.web import PROBLEM_TYPE, problem_body
+from guavalane_entry.requests.executions import Executions
 
 # Events that an endpoint may be ahead of a caller who reads slowly.
 MAX_LEAD_EVENTS = 64
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/store/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and the object API."""
--- a/packages/guavalane-entry/src/guavalane_entry/sharing.py
+++ b/packages/guavalane-entry/src/guavalane_entry/store/sharing.py
@@ -23,9 +23,9 @@
 )
 from guavalane_core.settings import NodeSettings
 from guavalane_core.timers import Timers
-from guavalane_entry.configuration import ConfigurationKeeper
-from guavalane_entry.membership import MembershipKeeper
-from guavalane_entry.peers import Peer, PeerLinks
+from guavalane_entry.peers.connections import Peer, PeerLinks
+from guavalane_entry.peers.membership import MembershipKeeper
+from guavalane_entry.store.configuration import ConfigurationKeeper
 
 PERIOD_S = 1.0
 
--- a/packages/guavalane-entry/tests/test_admission.py
+++ b/packages/guavalane-entry/tests/test_admission.py
@@ -28,13 +28,13 @@
 from guavalane_core.requests import RequestContext
 from guavalane_core.settings import LimitSettings
 from guavalane_core.timers import LoopTimers, ManualTimers
-from guavalane_entry.admission import Admission, EndpointLimits
-from guavalane_entry.chat import ChatRunner
-from guavalane_entry.endpoint_client import DONE_EVENT, EndpointClient
+from guavalane_entry.callers.admission import Admission, EndpointLimits
+from guavalane_entry.callers.chat import ChatRunner
+from guavalane_entry.callers.stream_log import StreamLog
+from guavalane_entry.endpoints.client import DONE_EVENT, EndpointClient
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.endpoints.retrying import RetryRules
 from guavalane_entry.metrics import Metrics
-from guavalane_entry.pool import EndpointPool
-from guavalane_entry.retrying import RetryRules
-from guavalane_entry.stream_log import StreamLog
 from guavalane_standins import web
 from guavalane_standins.engine import Engine
 from guavalane_standins.processes import free_port
--- a/packages/guavalane-entry/tests/test_control_plane.py
+++ b/packages/guavalane-entry/tests/test_control_plane.py
@@ -20,7 +20,7 @@
 )
 from guavalane_core.objects import MemoryObjectApi
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.configuration import KIND, NAME, ConfigurationKeeper
+from guavalane_entry.store.configuration import KIND, NAME, ConfigurationKeeper
 from guavalane_standins.cluster import Cluster
 from guavalane_standins.processes import ProcessGroup, wait_for
 
--- a/packages/guavalane-entry/tests/test_durable.py
+++ b/packages/guavalane-entry/tests/test_durable.py
@@ -13,9 +13,9 @@
 from guavalane_core.records import DurableRequest, RecordStore
 from guavalane_core.requests import OwnerWatch
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.durable import QUEUE_AGAIN_S, DurableRunner
-from guavalane_entry.executions import Executions
-from guavalane_entry.runs import problem_answer
+from guavalane_entry.requests.durable import QUEUE_AGAIN_S, DurableRunner
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.runs import problem_answer
 
 DEADLINE_S = 60.0
 ROUTE = Route(kind="service", request_class="durable", deployment="d", path="/")
--- a/packages/guavalane-entry/tests/test_event_writer.py
+++ b/packages/guavalane-entry/tests/test_event_writer.py
@@ -7,8 +7,8 @@
 import pytest
 from sanic.exceptions import ServerError
 
-from guavalane_entry.chat import StreamEvent
-from guavalane_entry.event_writer import UNSENT_BYTES, EventWriter
+from guavalane_entry.callers.chat import StreamEvent
+from guavalane_entry.callers.event_writer import UNSENT_BYTES, EventWriter
 
 EVENT = StreamEvent(b"data: {}", 1, "engine-a")
 
--- a/packages/guavalane-entry/tests/test_fleet.py
+++ b/packages/guavalane-entry/tests/test_fleet.py
@@ -16,13 +16,13 @@
 from guavalane_core.objects import MemoryObjectApi
 from guavalane_core.requests import RequestContext
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.fleet import (
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.fleet.planning import (
     CALL_LIMIT_S,
     LEASE_NAME,
     CloudClient,
     FleetRunner,
 )
-from guavalane_entry.pool import EndpointPool
 from guavalane_standins import web
 from guavalane_standins.cloud import Cloud
 from guavalane_standins.processes import free_port
--- a/packages/guavalane-entry/tests/test_http_clients.py
+++ b/packages/guavalane-entry/tests/test_http_clients.py
@@ -15,10 +15,10 @@
 from guavalane_core.objects import ConditionalWriter
 from guavalane_core.requests import RequestContext
 from guavalane_core.timers import LoopTimers
-from guavalane_entry.admission import EndpointLimits
-from guavalane_entry.endpoint_client import EndpointClient
-from guavalane_entry.objects_http import HttpObjectApi
-from guavalane_entry.pool import EndpointPool
+from guavalane_entry.callers.admission import EndpointLimits
+from guavalane_entry.endpoints.client import EndpointClient
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.store.objects_http import HttpObjectApi
 from guavalane_standins import web
 from guavalane_standins.objects import ObjectServer
 from guavalane_standins.processes import free_port
--- a/packages/guavalane-entry/tests/test_load.py
+++ b/packages/guavalane-entry/tests/test_load.py
@@ -8,8 +8,8 @@
 import pytest
 
 from guavalane_core.timers import LoopTimers
-from guavalane_entry.load import LoadPoller, parse_load
-from guavalane_entry.vm_list import VmListWatcher, parse_vm_list
+from guavalane_entry.endpoints.load import LoadPoller, parse_load
+from guavalane_entry.fleet.vm_list import VmListWatcher, parse_vm_list
 from guavalane_standins import web
 from guavalane_standins.engine import Engine
 from guavalane_standins.processes import free_port
--- a/packages/guavalane-entry/tests/test_lookup.py
+++ b/packages/guavalane-entry/tests/test_lookup.py
@@ -8,10 +8,10 @@
 from guavalane_core.messages import RequestQuery
 from guavalane_core.requests import RequestContext
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.chat import StreamEvent
-from guavalane_entry.executions import Executions
-from guavalane_entry.lookup import RequestLookup
-from guavalane_entry.runs import RunTable
+from guavalane_entry.callers.chat import StreamEvent
+from guavalane_entry.requests.executions import Executions
+from guavalane_entry.requests.lookup import RequestLookup
+from guavalane_entry.requests.runs import RunTable
 
 ROUTE = Route(
     kind="model", request_class="interactive", deployment="d", model="m"
--- a/packages/guavalane-entry/tests/test_order_commands.py
+++ b/packages/guavalane-entry/tests/test_order_commands.py
@@ -19,8 +19,8 @@
 from guavalane_core.objects import MemoryObjectApi
 from guavalane_core.orders import DesiredState, EngineStatus
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.order_commands import OrderCommands, OrderRequest
-from guavalane_entry.orders import LEASE, REPAIR_S, OrderRunner
+from guavalane_entry.orders.commands import OrderCommands, OrderRequest
+from guavalane_entry.orders.issuing import LEASE, REPAIR_S, OrderRunner
 
 RATE = 100
 MODEL_BYTES = 500
--- a/packages/guavalane-entry/tests/test_order_processes.py
+++ b/packages/guavalane-entry/tests/test_order_processes.py
@@ -11,8 +11,8 @@
 
 from guavalane_core.exceptions import StaleOrderError
 from guavalane_core.orders import DesiredState
-from guavalane_entry.orders import REPAIR_S
-from guavalane_entry.orders_http import HttpEngineOrders
+from guavalane_entry.orders.http import HttpEngineOrders
+from guavalane_entry.orders.issuing import REPAIR_S
 from guavalane_standins.cluster import Cluster
 from guavalane_standins.processes import ProcessGroup, fetch, wait_for
 
--- a/packages/guavalane-entry/tests/test_peers.py
+++ b/packages/guavalane-entry/tests/test_peers.py
@@ -13,7 +13,11 @@
 from guavalane_core.messages.codec import MAX_FRAME_BYTES
 from guavalane_core.settings import parse_settings
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.peers import IDLE_S, MAX_PENDING_FRAMES, PeerLinks
+from guavalane_entry.peers.connections import (
+    IDLE_S,
+    MAX_PENDING_FRAMES,
+    PeerLinks,
+)
 from guavalane_standins.processes import free_port
 
 
--- a/packages/guavalane-entry/tests/test_pool.py
+++ b/packages/guavalane-entry/tests/test_pool.py
@@ -13,8 +13,8 @@
 from guavalane_core.routing import POLICIES
 from guavalane_core.streams import PromptUsage
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.pool import EndpointPool
-from guavalane_entry.vm_list import ListedVm
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.fleet.vm_list import ListedVm
 
 BODY = b'{"messages": [{"role": "user", "content": "hello"}]}'
 LONG_BODY = BODY.replace(b"hello", b"hello" * 1000)
--- a/packages/guavalane-entry/tests/test_recording.py
+++ b/packages/guavalane-entry/tests/test_recording.py
@@ -8,12 +8,12 @@
 
 from guavalane_core.exceptions import AttemptError, InvalidRequestError
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.endpoint_client import (
+from guavalane_entry.endpoints.client import (
     DONE_EVENT,
     EndpointClient,
     ServiceAnswer,
 )
-from guavalane_entry.recording import RecordingClient
+from guavalane_entry.requests.recording import RecordingClient
 
 
 class Log:
--- a/packages/guavalane-entry/tests/test_stream_log.py
+++ b/packages/guavalane-entry/tests/test_stream_log.py
@@ -7,8 +7,12 @@
 import pytest
 
 from guavalane_core.exceptions import StreamMovedError
-from guavalane_entry.chat import DONE_EVENT, StreamEvent
-from guavalane_entry.stream_log import StreamLog, pack_events, unpack_events
+from guavalane_entry.callers.chat import DONE_EVENT, StreamEvent
+from guavalane_entry.callers.stream_log import (
+    StreamLog,
+    pack_events,
+    unpack_events,
+)
 
 ROLE = StreamEvent(b"data: role", 0, "engine-a")
 TOKENS = [StreamEvent(b"data: t%d" % i, i, "engine-a") for i in range(1, 6)]
--- a/packages/guavalane-standins/src/guavalane_standins/routing_replay.py
+++ b/packages/guavalane-standins/src/guavalane_standins/routing_replay.py
@@ -27,8 +27,8 @@
 )
 from guavalane_core.streams import PromptUsage
 from guavalane_core.timers import ManualTimers
-from guavalane_entry.pool import EndpointPool
-from guavalane_entry.vm_list import PERIOD_S, ListedVm
+from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.fleet.vm_list import PERIOD_S, ListedVm
 
 PREFILL_TOKEN_S = 1 / 8000
 TOKEN_S = 0.02
--- a/packages/guavalane-standins/tests/test_orders.py
+++ b/packages/guavalane-standins/tests/test_orders.py
@@ -7,7 +7,7 @@
 
 from guavalane_core.exceptions import StaleOrderError
 from guavalane_core.orders import DesiredState
-from guavalane_entry.orders_http import HttpEngineOrders
+from guavalane_entry.orders.http import HttpEngineOrders
 from guavalane_standins import web as standin_web
 from guavalane_standins.engine import Engine
 from guavalane_standins.orders import CHUNK_BYTES
