--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -18,8 +18,9 @@
 from guavalane_entry.gateway.decision_log import DecisionLog
 
 # Longest wait of one call, in seconds. Each call has its price, and a broken
-# connection shows by its keep-alive probes.
-WAIT_S = 25.0
+# connection shows by its keep-alive probes; but the object API keeps 20 s of
+# history, and a kind without changes for longer would have to be listed again.
+WAIT_S = 18.0
 # First and longest delay before a failed call is repeated, in seconds. The
 # longest is short against the time in which a change has to be in force.
 FIRST_DELAY_S = 0.1
