--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(sort $(wildcard packages/guavalane-*))
 
-.PHONY: setup demo test bench lint format generate check-generated docs clean
+.PHONY: setup demo test soak bench lint format generate check-generated docs clean
 
 setup: $(VENV)/.ready
 
@@ -24,6 +24,13 @@
 test: setup
 	$(BIN)/python -m pytest
 
+# SEEDS and FIRST choose the seeds; see docs/developer-guide/contributing.md.
+SEEDS ?= 5
+FIRST ?= 1
+soak: setup
+	PYTHONPATH=platform:platform/standins \
+		$(BIN)/python -m soak.run --first $(FIRST) --seeds $(SEEDS)
+
 bench: setup
 	$(BIN)/python -m bench.run
 
