Spend less processor time on reports and relays in large fleets

Each message of a relay woke the waits of all four kinds, loads came as a frame of their own, and each report of a node looked through the usage windows of all others. Change: a wait is woken by changes of its kind only, heartbeats carry the loads, old windows are dropped once when the newest moves on, usage goes with every second report of a large fleet, and its slices are half as many.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -42,7 +42,6 @@
     "PrefixUse",
     "RelayAge",
     "RelayHeartbeat",
-    "RelayLoads",
     "RelayedBatch",
     "RelayedObject",
     "RequestQuery",
@@ -684,28 +683,6 @@
     }
 
 
-@attrs.frozen(kw_only=True)
-class EndpointWork:
-    """Work that one node has at one endpoint.
-
-    Attributes:
-      endpoint: Identifier of the endpoint.
-      requests: Requests that have not ended.
-      prefill_tokens: Prompt tokens that the endpoint has not read yet, as far
-          as the node knows.
-    """
-
-    endpoint: str
-    requests: int
-    prefill_tokens: int
-
-    OPTIONS: ClassVar[dict[str, options.Option]] = {
-        "endpoint": options.Text(),
-        "requests": options.Integer(minimum=0),
-        "prefill_tokens": options.Integer(minimum=0),
-    }
-
-
 @attrs.frozen(kw_only=True)
 class AllotmentUse:
     """What one node has admitted for one organisation.
@@ -817,6 +794,28 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class EndpointWork:
+    """Work that one node has at one endpoint.
+
+    Attributes:
+      endpoint: Identifier of the endpoint.
+      requests: Requests that have not ended.
+      prefill_tokens: Prompt tokens that the endpoint has not read yet, as far
+          as the node knows.
+    """
+
+    endpoint: str
+    requests: int
+    prefill_tokens: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "endpoint": options.Text(),
+        "requests": options.Integer(minimum=0),
+        "prefill_tokens": options.Integer(minimum=0),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class RelayedObject:
     """Object after a change.
@@ -890,17 +889,20 @@
 
 @attrs.frozen(kw_only=True)
 class RelayHeartbeat:
-    """Sign of life of a relay, with the age of its knowledge.
+    """Sign of life of a relay, with the age of its knowledge and all work.
 
     Attributes:
       ages: Ages by kind.
+      loads: Work at endpoints, that of the receiver included.
     """
 
     ages: tuple[RelayAge, ...]
+    loads: tuple[EndpointWork, ...]
 
     TYPE_ID: ClassVar[int] = 52
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "ages": options.ListOf(options.Section(RelayAge)),
+        "loads": options.ListOf(options.Section(EndpointWork)),
     }
 
 
@@ -929,22 +931,6 @@
     }
 
 
-@attrs.frozen(kw_only=True)
-class RelayLoads:
-    """Work of all nodes as a relay knows it.
-
-    Attributes:
-      loads: Work at endpoints, that of the receiver included.
-    """
-
-    loads: tuple[EndpointWork, ...]
-
-    TYPE_ID: ClassVar[int] = 54
-    OPTIONS: ClassVar[dict[str, options.Option]] = {
-        "loads": options.ListOf(options.Section(EndpointWork)),
-    }
-
-
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """Figures that a node tells the others several times a second.
--- a/packages/guavalane-core/src/guavalane_core/usage/counts.py
+++ b/packages/guavalane-core/src/guavalane_core/usage/counts.py
@@ -43,6 +43,7 @@
         self._window_s = window_s
         self._own: Counter[tuple[int, str]] = Counter()
         self._others: dict[tuple[str, int], dict[tuple[int, str], int]] = {}
+        self._oldest = 0
 
     def window_at(self, true_s: float) -> int:
         """Returns the number of the window at a time since the epoch."""
@@ -109,6 +110,11 @@
         return dict(sums)
 
     def _forget(self, oldest: int) -> None:
+        # Looking through the windows of all nodes at each report would cost
+        # more than the report, among many nodes.
+        if oldest <= self._oldest:
+            return
+        self._oldest = oldest
         for process, counts in list(self._others.items()):
             for key in [key for key in counts if key[0] < oldest]:
                 del counts[key]
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/relayed_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/relayed_api.py
@@ -14,8 +14,6 @@
 RELAY_WAIT_S = 1.0
 # Wait of a call that only fetches what is there, in seconds.
 SHORTEST_WAIT_S = 0.001
-# Time between two looks at whether the relay is still fresh, in seconds.
-FRESHNESS_PERIOD_S = 0.3
 
 
 class RelayedObjectApi:
@@ -64,7 +62,7 @@
             left_s = end_s - self._timers.now()
             if batch.events or left_s <= 0:
                 return batch
-            await self._link.wait(min(left_s, FRESHNESS_PERIOD_S))
+            await self._link.wait(kind, left_s)
         return await self._poll_directly(kind, version, wait_s)
 
     def _is_direct(self) -> bool:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/relays.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/relays.py
@@ -20,11 +20,11 @@
 
 from guavalane_core.exceptions import MessageError
 from guavalane_core.messages import (
+    EndpointWork,
     RelayAge,
     RelayedBatch,
     RelayedObject,
     RelayHeartbeat,
-    RelayLoads,
     decode,
     encode,
 )
@@ -121,10 +121,12 @@
 
     Args:
       timers: Timer service.
-      loads: Function that returns the frame of the work of all nodes.
+      loads: Function that returns the work of all nodes.
     """
 
-    def __init__(self, timers: Timers, loads: Callable[[], bytes]) -> None:
+    def __init__(
+        self, timers: Timers, loads: Callable[[], tuple[EndpointWork, ...]]
+    ) -> None:
         self._timers = timers
         self._loads = loads
         self._followers: dict[web.WebSocketResponse, asyncio.Transport] = {}
@@ -152,7 +154,6 @@
         """Tells followers the age of what this node knows, and all work."""
         if self._followers:
             self._send(self._heartbeat())
-            self._send(self._loads())
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one follower until its connection ends."""
@@ -178,7 +179,8 @@
                 ages=tuple(
                     RelayAge(kind=kind, age_ms=int((now_s - at_s) * 1000))
                     for kind, at_s in self._answered_s.items()
-                )
+                ),
+                loads=self._loads(),
             )
         )
 
@@ -209,6 +211,7 @@
       answered_s: When the object API last answered the relay, on the
           monotonic clock of this node; None while it does not.
       batches: Version before, and changes, of the newest batches.
+      changed: Set when there are changes, or the relay's knowledge is old.
     """
 
     start: int
@@ -217,6 +220,7 @@
     batches: deque[tuple[int, ObjectBatch]] = attrs.field(
         factory=lambda: deque(maxlen=KEPT_BATCHES)
     )
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def add(self, since: int, batch: ObjectBatch) -> None:
         """Takes changes; a gap before them starts anew."""
@@ -259,7 +263,7 @@
         name: str,
         live: Callable[[], Sequence[str]],
         address_of: Callable[[str], str | None],
-        on_loads: Callable[[RelayLoads], None],
+        on_loads: Callable[[Iterable[EndpointWork]], None],
         timers: Timers,
         log: DecisionLog,
         rng: random.Random,
@@ -275,7 +279,6 @@
         self._relay: str | None = None
         self._heard_s = 0.0
         self._avoided: dict[str, float] = {}
-        self._changed = asyncio.Event()
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
 
@@ -339,11 +342,18 @@
         """Returns the known changes after a version that is covered."""
         return self._kinds[kind].after(int(version))
 
-    async def wait(self, timeout_s: float) -> None:
-        """Waits until the relay tells something."""
+    async def wait(self, kind: str, timeout_s: float) -> None:
+        """Waits until the relay tells of a change, or is not to be trusted.
+
+        Args:
+          kind: Kind of the objects; the relay tells about it.
+          timeout_s: Longest wait in seconds.
+        """
+        changed = self._kinds[kind].changed
+        changed.clear()
         try:
             async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
+                await changed.wait()
         except TimeoutError:
             return
 
@@ -389,8 +399,9 @@
             reason = repr(error)
         finally:
             followed, self._relay = self._relay, None
-            self._kinds.clear()
-            self._wake()
+            kinds, self._kinds = self._kinds, {}
+            for known in kinds.values():
+                known.changed.set()
         self._avoided[relay] = self._timers.now() + AVOIDED_S
         if followed is not None:
             self._log.event("relay.lost", relay=relay, reason=reason)
@@ -407,10 +418,7 @@
                 self._take_batch(message)
             elif isinstance(message, RelayHeartbeat):
                 self._take_ages(message.ages)
-            elif isinstance(message, RelayLoads):
-                self._on_loads(message)
-                continue
-            self._wake()
+                self._on_loads(message.loads)
 
     def _take_batch(self, message: RelayedBatch) -> None:
         since = int(message.since)
@@ -420,13 +428,12 @@
             self._kinds[message.kind] = known
         known.add(since, decode_batch(message))
         known.answered_s = self._heard_s
+        known.changed.set()
 
     def _take_ages(self, ages: Iterable[RelayAge]) -> None:
         told = {age.kind: age.age_ms / 1000 for age in ages}
         for kind, known in self._kinds.items():
             age_s = told.get(kind)
             known.answered_s = None if age_s is None else self._heard_s - age_s
-
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+            if age_s is None or age_s > LONGEST_AGE_S:
+                known.changed.set()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from guavalane_core.exceptions import MessageError
 from guavalane_core.fleet.replica_demand import DemandTotals
@@ -40,8 +40,11 @@
 # Datagrams that are sent at once, and the time until the next ones, in seconds.
 # A burst to all nodes of a large fleet fills the queue of a thin link, which
 # then drops its tail.
-SLICE = 4
-SLICE_PERIOD_S = 0.025
+SLICE = 8
+SLICE_PERIOD_S = 0.05
+# In a large fleet usage, the longest part of a report, goes with every second
+# one: its figures are fixed after four.
+USAGE_REPORTS = 2
 # A node is taken as silent after this time, in seconds, or after this many
 # periods if they take longer.
 SILENT_S = 2.0
@@ -228,7 +231,7 @@
                     organisation=count.organisation,
                     requests=count.requests,
                 )
-                for count in view.usage.recent()
+                for count in self._recent_usage()
             ),
             demand=tuple(
                 ServiceDemand(
@@ -245,6 +248,12 @@
             moves=tuple(self._move_outcomes()),
         )
 
+    def _recent_usage(self) -> Iterable[WindowCount]:
+        large = len(self._view.peers) > NODES_AT_PERIOD
+        if large and self._sequence % USAGE_REPORTS:
+            return ()
+        return self._view.usage.recent()
+
     def _move_outcomes(self) -> Iterator[MoveOutcomes]:
         moves = self._view.moves
         for service, followed in moves.moves.items():
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/work_reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/work_reports.py
@@ -10,7 +10,6 @@
 
 from guavalane_core.messages import (
     EndpointWork,
-    RelayLoads,
     WorkReport,
     encode,
 )
@@ -100,18 +99,17 @@
         until_s = self._timers.now() + VALID_S
         self._work.report(report.node, from_messages(report.work), until_s)
 
-    def sum(self) -> bytes:
-        """Returns the frame that tells followers the work of all nodes."""
-        totals = self._work.totals(self._timers.now())
-        return encode(RelayLoads(loads=to_messages(totals)))
+    def sum(self) -> tuple[EndpointWork, ...]:
+        """Returns the work of all nodes, to be told to followers."""
+        return to_messages(self._work.totals(self._timers.now()))
 
-    def take_sum(self, message: RelayLoads) -> None:
+    def take_sum(self, told: Iterable[EndpointWork]) -> None:
         """Takes the work of all nodes from a relay.
 
         The sum holds what this node told last, which is taken off.
         """
         others: dict[str, Load] = {}
-        for name, load in from_messages(message.loads).items():
+        for name, load in from_messages(told).items():
             left = load - self._told.get(name, NO_LOAD)
             others[name] = Load(
                 max(0, left.requests), max(0, left.prefill_tokens)
