Answer requests that have come but have no handler yet at a stop

Cause: the drain of the listener waited for started handlers only. Change: a connection is unanswered from the first byte of a request until its final answer or its loss, and the drain waits for all of these. The limit on slow headers stays in force while it waits.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -129,6 +129,36 @@
         return response
 
 
+class _ConnectionSet:
+    """Connections that can be waited for until none is left."""
+
+    def __init__(self) -> None:
+        self._connections: set[_CallerConnection] = set()
+        self._empty = asyncio.Event()
+        self._empty.set()
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def __contains__(self, connection: _CallerConnection) -> bool:
+        return connection in self._connections
+
+    def add(self, connection: _CallerConnection) -> None:
+        """Adds a connection."""
+        self._connections.add(connection)
+        self._empty.clear()
+
+    def discard(self, connection: _CallerConnection) -> None:
+        """Removes a connection, if it is contained."""
+        self._connections.discard(connection)
+        if not self._connections:
+            self._empty.set()
+
+    async def wait_empty(self) -> None:
+        """Waits until no connection is left."""
+        await self._empty.wait()
+
+
 class _CallerConnection(web.RequestHandler):
     """Connection that knows whether bytes of a request have come.
 
@@ -137,14 +167,28 @@
 
     Args:
       timers: Timer service.
+      unanswered: Connections with a request that has no final answer. A
+          connection adds and removes itself.
       arguments: Arguments of the HTTP library.
     """
 
-    def __init__(self, timers: Timers, *arguments: Any, **named: Any) -> None:
+    def __init__(
+        self,
+        timers: Timers,
+        unanswered: _ConnectionSet,
+        *arguments: Any,
+        **named: Any,
+    ) -> None:
         super().__init__(*arguments, **named)
         self._timers = timers
+        self._unanswered = unanswered
         self._header_since_s: float | None = None
-        self.busy = False
+        self._handled = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether bytes of a request have come that has no final answer."""
+        return self in self._unanswered
 
     @property
     def header_age_s(self) -> float:
@@ -156,17 +200,25 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes of a caller."""
         if not self.busy:
-            self.busy = True
+            self._unanswered.add(self)
             self._header_since_s = self._timers.now()
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Drops a request that no handler has begun."""
+        super().connection_lost(exc)
+        if not self._handled:
+            self._unanswered.discard(self)
+
     def begin_request(self) -> None:
         """Notes that the header of a request was read."""
+        self._handled = True
         self._header_since_s = None
 
     def end_request(self) -> None:
         """Notes that a request was answered."""
-        self.busy = False
+        self._handled = False
+        self._unanswered.discard(self)
 
     def refuse_header(self) -> None:
         """Ends the connection, as its header takes too long."""
@@ -184,15 +236,18 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         limits: Callable[[], CallerLimits],
         timers: Timers,
+        unanswered: _ConnectionSet,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
         self._timers = timers
+        self._unanswered = unanswered
 
     def __call__(self) -> _CallerConnection:
         limits = self._limits()
         return _CallerConnection(
             self._timers,
+            self._unanswered,
             self,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_s * IDLE_FACTOR,
@@ -229,9 +284,7 @@
         self._limits = limits
         self._handler = handler
         self._closing = False
-        self._active: set[web.RequestHandler] = set()
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._unanswered = _ConnectionSet()
         self._server: _LimitedServer | None = None
         self._sockets: asyncio.Server | None = None
         self._sweep: Subscription | None = None
@@ -239,7 +292,7 @@
     @property
     def active(self) -> int:
         """Requests that have no final answer."""
-        return len(self._active)
+        return len(self._unanswered)
 
     @property
     def connections(self) -> list[_CallerConnection]:
@@ -248,7 +301,9 @@
 
     async def start(self) -> None:
         """Starts to listen."""
-        self._server = _LimitedServer(self._serve, self._limits, self._timers)
+        self._server = _LimitedServer(
+            self._serve, self._limits, self._timers, self._unanswered
+        )
         self._sweep = self._timers.call_every(
             HEADER_PERIOD_S, self._refuse_slow_headers
         )
@@ -267,21 +322,23 @@
         """Stops to listen and waits for the answers under way.
 
         Idle connections are closed at once. A request on one of them then
-        crosses the close, and the caller may safely send it elsewhere.
+        crosses the close, and the caller may safely send it elsewhere. A
+        request whose bytes have come is answered, also when its handler has
+        not started yet.
 
         Args:
           timeout_s: Longest wait in seconds.
         """
         self._sockets.close()
-        self._sweep.cancel()
         for connection in self._server.connections:
             if not connection.busy:
                 connection.force_close()
         try:
             async with asyncio.timeout(timeout_s):
-                await self._idle.wait()
+                await self._unanswered.wait_empty()
         except TimeoutError:
             log.warning("listener: {} requests left at stop", self.active)
+        self._sweep.cancel()
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     def _refuse_slow_headers(self) -> None:
@@ -294,15 +351,10 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request.protocol.begin_request()
         reply = ConnectionReply(request, lambda: self._closing)
-        self._active.add(request.protocol)
-        self._idle.clear()
         try:
             await self._answer(request, reply)
         finally:
-            self._active.discard(request.protocol)
             request.protocol.end_request()
-            if not self._active:
-                self._idle.set()
         # An aborted connection still needs an answer for the library to drop.
         response = reply.response or web.Response(status=502)
         if self._closing:
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -474,3 +474,60 @@
             await asyncio.wait_for(rig.listener.drain(2.0), 1.0)
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
             writer.close()
+
+    async def test_a_slow_request_that_has_just_come_is_answered_at_a_stop(
+        self,
+    ):
+        """Guards against a stop that waits for started handlers only."""
+
+        async def slow(exchange):
+            await asyncio.sleep(0.5)
+            await exchange.answer(200, echo_headers(exchange), b"done")
+
+        async with GatewayRig(ONCE) as rig:
+            await rig.add_endpoint(slow)
+            host, port = rig.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.05)
+            (connection,) = rig.listener.connections
+            rig.listener.close_after_answers()
+            connection.data_received(
+                f"POST /a/x HTTP/1.1\r\nHost: app.example\r\n"
+                f"{NAMES.request_id}: q-1\r\n"
+                f"Content-Length: 0\r\n\r\n".encode()
+            )
+            await asyncio.wait_for(rig.listener.drain(2.0), 1.5)
+            assert (await reader.read()).endswith(b"done")
+            writer.close()
+
+    async def test_a_request_whose_header_is_half_read_is_answered_at_a_stop(
+        self,
+    ):
+        """Guards against a stop that cuts a request that is being sent."""
+        async with GatewayRig(ONCE) as rig:
+            await rig.add_endpoint(answer_with())
+            host, port = rig.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"POST /a/x HTTP/1.1\r\nHost: app.example\r\n")
+            await asyncio.sleep(0.1)
+            rig.listener.close_after_answers()
+            stopping = asyncio.create_task(rig.listener.drain(2.0))
+            await asyncio.sleep(0.4)
+            writer.write(
+                f"{NAMES.request_id}: q-1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            await asyncio.wait_for(stopping, 1.0)
+            assert (await reader.read()).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    async def test_a_caller_who_leaves_half_a_header_delays_no_stop(self):
+        """Guards against waiting for a connection that is gone."""
+        async with GatewayRig(ONCE) as rig:
+            host, port = rig.address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"POST /a/x HTTP/1.1\r\n")
+            await asyncio.sleep(0.1)
+            assert rig.listener.active == 1
+            writer.close()
+            await asyncio.wait_for(rig.listener.drain(5.0), 1.0)
+            assert rig.listener.active == 0
