--- a/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -10,8 +10,11 @@
 from guavalane_core.forwarding.endpoint import Endpoint
 
 # Endpoints whose entries expired during an outage of the discovery write them
-# again within this time after its return, in seconds.
-RETURN_GRACE_S = 2.0
+# again within about 2 s of its return. An endpoint that does not is gone, and
+# no request may reach it later than 2 s after the node could know that. The
+# difference covers the period of `expire` and the way of the last request. In
+# seconds.
+RETURN_GRACE_S = 1.8
 # Shorter outages let no entry expire, in seconds.
 LONG_OUTAGE_S = 2.0
 # Removed endpoints that are remembered.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -59,8 +59,6 @@
 # Part of their period by which work reports vary, so that the nodes do not send
 # in step.
 WORK_JITTER = 0.2
-# Time between two looks at endpoints whose grace may have ended, in seconds.
-EXPIRY_PERIOD_S = 0.25
 # Time after SIGTERM for which new connections are taken, in seconds: the load
 # balancer checks once a second and needs two failed checks.
 UNREADY_S = 2.5
@@ -164,6 +162,9 @@
             self._log,
             rng,
         )
+        self._endpoint_sink = EndpointSink(
+            self._view, endpoint_kind[1], self._log
+        )
         self._watches = self._make_watches(
             configuration_kind, endpoint_kind, move_kind
         )
@@ -233,7 +234,7 @@
         )
         self._copies.start()
         self._duties.start()
-        self._timers.call_every(EXPIRY_PERIOD_S, self._expire)
+        self._endpoint_sink.start()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Takes changed settings."""
@@ -320,7 +321,7 @@
             ),
             "endpoints": (
                 endpoint_kind[0],
-                EndpointSink(self._view, endpoint_kind[1], self._log),
+                self._endpoint_sink,
             ),
             "nodes": (
                 NODE_KIND,
@@ -344,7 +345,3 @@
             )
             for name, (kind, sink) in kinds.items()
         }
-
-    def _expire(self) -> None:
-        for name in self._view.directory.expire(self._timers.now()):
-            self._log.event("endpoint.expired", endpoint=name)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 from guavalane_core.exceptions import ConfigurationError
 from guavalane_core.forwarding import (
@@ -14,6 +14,10 @@
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.view import NodeView
+from guavalane_entry.gateway.watch import KindSink
+
+# Time between two looks for endpoints whose grace has ended, in seconds.
+EXPIRY_PERIOD_S = 0.05
 
 ConfigurationDecoder = Callable[[StoredObject], ForwardingConfiguration]
 T = TypeVar("T")
@@ -21,70 +25,57 @@
 MoveDecoder = Callable[[StoredObject], VersionMove]
 
 
-def _read(
-    decode: Callable[[StoredObject], T],
-    stored: StoredObject,
-    on_mistake: Callable[[str], None],
-) -> T | None:
-    """Returns what an object holds; None if it cannot be understood.
-
-    Args:
-      decode: Function that reads the object.
-      stored: Object.
-      on_mistake: Called with the reason if it cannot be understood.
-    """
-    try:
-        return decode(stored)
-    except ConfigurationError as error:
-        on_mistake(str(error))
-        return None
-
-
-class ConfigurationSink:
-    """Puts each newer configuration in force.
+class _DecodingSink(KindSink, Generic[T]):
+    """Sink of objects that are read with a function of the platform.
 
     Args:
       view: State to change.
-      decode: Function that reads a stored configuration; it raises
+      decode: Function that reads a stored object; it raises
           `ConfigurationError` for one that cannot be read.
       log: Log of decisions.
     """
 
     def __init__(
-        self, view: NodeView, decode: ConfigurationDecoder, log: DecisionLog
+        self,
+        view: NodeView,
+        decode: Callable[[StoredObject], T],
+        log: DecisionLog,
     ) -> None:
         self._view = view
         self._decode = decode
         self._log = log
 
+    def _ignore(self, name: str, reason: str) -> None:
+        """Logs that an object cannot be read."""
+        raise NotImplementedError
+
+    def _read(self, stored: StoredObject) -> T | None:
+        """Returns what an object holds; None if it cannot be read."""
+        try:
+            return self._decode(stored)
+        except ConfigurationError as error:
+            self._ignore(stored.name, str(error))
+            return None
+
+
+class ConfigurationSink(_DecodingSink[ForwardingConfiguration]):
+    """Puts each newer configuration in force."""
+
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
         for stored in objects:
             self._take(stored)
 
-    def merge(self, objects: list[StoredObject]) -> None:
-        """Takes the list of another node; only a newer version counts."""
-        self.replace_all(objects)
-
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change; a configuration that is deleted stays in force."""
         if not event.deleted:
             self._take(event.object)
 
-    def lose(self) -> None:
-        """Keeps the configuration in force."""
-
-    def regain(self) -> None:
-        """Keeps the configuration in force."""
+    def _ignore(self, name: str, reason: str) -> None:
+        self._log.event("configuration.ignored", name=name, reason=reason)
 
     def _take(self, stored: StoredObject) -> None:
-        configuration = _read(
-            self._decode,
-            stored,
-            lambda reason: self._log.event(
-                "configuration.ignored", name=stored.name, reason=reason
-            ),
-        )
+        configuration = self._read(stored)
         if configuration is None:
             return
         in_force = self._view.offer(configuration)
@@ -96,22 +87,12 @@
         )
 
 
-class EndpointSink:
-    """Keeps the directory of endpoints current.
+class EndpointSink(_DecodingSink[Endpoint]):
+    """Keeps the directory of endpoints current."""
 
-    Args:
-      view: State to change.
-      decode: Function that reads a stored endpoint; it raises
-          `ConfigurationError` for one that cannot be read.
-      log: Log of decisions.
-    """
-
-    def __init__(
-        self, view: NodeView, decode: EndpointDecoder, log: DecisionLog
-    ) -> None:
-        self._view = view
-        self._decode = decode
-        self._log = log
+    def start(self) -> None:
+        """Starts to look for endpoints whose grace has ended."""
+        self._view.timers.call_every(EXPIRY_PERIOD_S, self._expire)
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
@@ -161,14 +142,12 @@
             self._note(endpoint)
         return endpoints
 
-    def _read(self, stored: StoredObject) -> Endpoint | None:
-        return _read(
-            self._decode,
-            stored,
-            lambda reason: self._log.event(
-                "endpoint.ignored", endpoint=stored.name, reason=reason
-            ),
-        )
+    def _expire(self) -> None:
+        for name in self._view.directory.expire(self._now()):
+            self._log.event("endpoint.expired", endpoint=name)
+
+    def _ignore(self, name: str, reason: str) -> None:
+        self._log.event("endpoint.ignored", endpoint=name, reason=reason)
 
     def _note(self, endpoint: Endpoint) -> None:
         name = endpoint.endpoint_id
@@ -188,7 +167,7 @@
             )
 
 
-class PeerSink:
+class PeerSink(KindSink):
     """Keeps the addresses of other nodes.
 
     Args:
@@ -219,12 +198,6 @@
         else:
             self._put(event.object)
 
-    def lose(self) -> None:
-        """Keeps the nodes that are known."""
-
-    def regain(self) -> None:
-        """Keeps the nodes that are known."""
-
     def _replace(self, objects: list[StoredObject]) -> None:
         self._view.peers.clear()
         for stored in objects:
@@ -236,22 +209,8 @@
             self._view.peers[stored.name] = address
 
 
-class MoveSink:
-    """Keeps the moves of services to other versions.
-
-    Args:
-      view: State to change.
-      decode: Function that reads a stored order; it raises
-          `ConfigurationError` for one that cannot be read.
-      log: Log of decisions.
-    """
-
-    def __init__(
-        self, view: NodeView, decode: MoveDecoder, log: DecisionLog
-    ) -> None:
-        self._view = view
-        self._decode = decode
-        self._log = log
+class MoveSink(_DecodingSink[VersionMove]):
+    """Keeps the moves of services to other versions."""
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
@@ -273,20 +232,11 @@
         else:
             self._take(event.object)
 
-    def lose(self) -> None:
-        """Keeps the moves that are known."""
-
-    def regain(self) -> None:
-        """Keeps the moves that are known."""
+    def _ignore(self, name: str, reason: str) -> None:
+        self._log.event("move.ignored", name=name, reason=reason)
 
     def _take(self, stored: StoredObject) -> None:
-        move = _read(
-            self._decode,
-            stored,
-            lambda reason: self._log.event(
-                "move.ignored", name=stored.name, reason=reason
-            ),
-        )
+        move = self._read(stored)
         if move is None:
             return
         self._view.moves.offer(move, self._view.timers.now())
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from collections.abc import Mapping
-from typing import Protocol
 
 from guavalane_core.exceptions import ObjectApiError, WatchGapError
 from guavalane_core.objects import (
@@ -27,17 +26,20 @@
 LONGEST_DELAY_S = 0.8
 
 
-class KindSink(Protocol):
+class KindSink:
     """Receives the objects of one kind."""
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
+        raise NotImplementedError
 
     def merge(self, objects: list[StoredObject]) -> None:
         """Takes the list of another node, which may be older."""
+        self.replace_all(objects)
 
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
+        raise NotImplementedError
 
     def lose(self) -> None:
         """Notes that the object API does not answer."""
--- /dev/null
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -0,0 +1,121 @@
+"""Tests of the receivers of the objects that a node follows."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from guavalane_core.exceptions import ConfigurationError
+from guavalane_core.objects import ObjectEvent, StoredObject
+from guavalane_core.timers import ManualTimers
+from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.settings import Address, GatewaySettings
+from guavalane_entry.gateway.sinks import EndpointSink
+from guavalane_entry.gateway.view import NodeView
+from guavalane_standins.forwarding_samples import make_endpoint
+
+# A request may reach an endpoint up to this long after the node could know
+# that it is gone, in seconds (`DrainMs` of the operators' bounds).
+DRAIN_S = 2.0
+# Time kept for the way of a request to its endpoint, in seconds.
+WAY_S = 0.1
+ADDRESS = Address("127.0.0.1", 1)
+
+
+def decode(stored):
+    """Returns the endpoint of an object; an empty body is a mistake."""
+    if not stored.body:
+        raise ConfigurationError("the entry is empty")
+    return make_endpoint(stored.name, **stored.body)
+
+
+def make_stored(name, **body):
+    """Returns a stored entry of an endpoint."""
+    return StoredObject("endpoints", name, "1", body or {"zone": "zone-a"})
+
+
+class World:
+    """Sink of endpoints with a node's view under a manual timer."""
+
+    def __init__(self):
+        self.timers = ManualTimers()
+        settings = GatewaySettings(
+            name="n1",
+            zone="zone-a",
+            callers=ADDRESS,
+            readiness=ADDRESS,
+            peers=ADDRESS,
+            metrics=ADDRESS,
+        )
+        self.view = NodeView(settings, self.timers, random.Random(1))
+        log = DecisionLog("n1", self.timers.wall)
+        self.sink = EndpointSink(self.view, decode, log)
+        self.sink.start()
+
+    def is_used(self, name="e-1"):
+        """Returns whether an endpoint takes new requests."""
+        usable = self.view.directory.usable("app")
+        return name in {endpoint.endpoint_id for endpoint in usable}
+
+
+@pytest.fixture
+def world():
+    """A node that knows two endpoints."""
+    world = World()
+    world.sink.replace_all([make_stored("e-1"), make_stored("e-2")])
+    return world
+
+
+class TestGraceAfterOutage:
+    """Guards against requests to endpoints that did not come back."""
+
+    @pytest.mark.parametrize("phase_s", [n * 0.01 for n in range(30)])
+    @pytest.mark.parametrize("delay_s", [0.0, 0.5, 1.0])
+    def test_a_lapsed_endpoint_is_used_for_less_than_the_bound(
+        self, world, phase_s, delay_s
+    ):
+        world.timers.advance(5.0 + phase_s)
+        world.sink.lose()
+        world.timers.advance(10.0)
+        world.sink.regain()
+        world.timers.advance(delay_s)
+        world.sink.apply(ObjectEvent(make_stored("e-1"), deleted=True))
+        assert world.is_used()
+        world.timers.advance(DRAIN_S - WAY_S)
+        assert not world.is_used()
+        assert world.is_used("e-2")
+
+    def test_an_endpoint_that_comes_back_in_time_is_used_throughout(
+        self, world
+    ):
+        world.sink.lose()
+        world.timers.advance(10.0)
+        world.sink.regain()
+        world.sink.replace_all([make_stored("e-2")])
+        for _ in range(15):
+            world.timers.advance(0.1)
+            assert world.is_used()
+        world.sink.apply(ObjectEvent(make_stored("e-1"), deleted=False))
+        world.timers.advance(10.0)
+        assert world.is_used()
+
+    def test_an_endpoint_that_another_node_lacks_is_dropped_in_time(
+        self, world
+    ):
+        world.sink.lose()
+        world.timers.advance(10.0)
+        world.sink.merge([make_stored("e-2")])
+        assert world.is_used()
+        world.timers.advance(DRAIN_S - WAY_S)
+        assert not world.is_used()
+
+
+class TestMistakes:
+    """Guards against entries that cannot be read."""
+
+    def test_an_entry_that_cannot_be_read_is_not_used(self, world):
+        broken = StoredObject("endpoints", "e-1", "2", {})
+        world.sink.apply(ObjectEvent(broken, deleted=False))
+        assert not world.is_used()
+        assert world.is_used("e-2")
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -23,7 +23,7 @@
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.listener import StatusListener
 from guavalane_entry.gateway.settings import Address
-from guavalane_entry.gateway.watch import KindWatch
+from guavalane_entry.gateway.watch import KindSink, KindWatch
 from guavalane_standins.processes import free_port
 
 
@@ -80,7 +80,7 @@
             await self._changed.wait()
 
 
-class RecordingSink:
+class RecordingSink(KindSink):
     """Keeps what it was told."""
 
     def __init__(self):
