--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -33,13 +33,6 @@
 from guavalane_entry.gateway.names import HeaderNames
 from guavalane_entry.gateway.parts import GatewayParts
 from guavalane_entry.gateway.registration import NODE_KIND, Registration
-from guavalane_entry.gateway.relayed_api import RelayedObjectApi
-from guavalane_entry.gateway.relays import (
-    HEARTBEAT_S,
-    RelayLink,
-    RelayServer,
-)
-from guavalane_entry.gateway.relays import PATH as CHANGES_PATH
 from guavalane_entry.gateway.reports import PeerReports
 from guavalane_entry.gateway.settings import GatewaySettings
 from guavalane_entry.gateway.sinks import (
@@ -55,6 +48,10 @@
 from guavalane_entry.gateway.watch import KindWatch
 from guavalane_entry.gateway.work_reports import WORK_PERIOD_S, WorkReports
 from guavalane_entry.metrics import Metrics
+from guavalane_entry.relays.link import RelayLink
+from guavalane_entry.relays.object_api import RelayedObjectApi
+from guavalane_entry.relays.server import HEARTBEAT_S, RelayServer
+from guavalane_entry.relays.server import PATH as CHANGES_PATH
 
 # Part of their period by which work reports vary, so that the nodes do not send
 # in step.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/relays.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/link.py
@@ -1,47 +1,31 @@
-"""Changes of the object API that a few nodes pass on to the others.
-
-In a large fleet a few relays follow the object API and all other nodes follow
-a relay, since each change would otherwise cost a call of every node.
-"""
+"""Connection of a node to the relay that it follows."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections import deque
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import aiohttp
-import attrs
-import cbor2
-import xxhash
-from aiohttp import web
-from loguru import logger as log
 
 from guavalane_core.exceptions import MessageError
 from guavalane_core.messages import (
     EndpointWork,
     RelayAge,
     RelayedBatch,
-    RelayedObject,
     RelayHeartbeat,
     decode,
-    encode,
 )
-from guavalane_core.objects import ObjectBatch, ObjectEvent, StoredObject
+from guavalane_core.objects import ObjectBatch
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.http_session import make_probed_socket, make_session
+from guavalane_entry.relays.choice import choose_relays
+from guavalane_entry.relays.followed_kind import FollowedKind
+from guavalane_entry.relays.frames import decode_batch
+from guavalane_entry.relays.server import PATH
 
-PATH = "/changes"
-# Nodes that follow the object API for the others. With three, one may restart
-# while another fails.
-RELAYS = 3
-# In smaller fleets each node follows the object API itself.
-SMALLEST_FLEET = 24
-# Time between two heartbeats of a relay, in seconds.
-HEARTBEAT_S = 0.25
 # A relay that was not heard for this time, in seconds, is given up. Together
 # with the age below it stays within the operators' shortest bound on changes.
 SILENT_S = 1.2
@@ -52,197 +36,6 @@
 # Time between two looks at which relay to follow, in seconds.
 PERIOD_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
-# Batches of one kind that a follower keeps for its watch to take.
-KEPT_BATCHES = 256
-# A follower that lets this much wait, in bytes, is disconnected.
-MAX_UNSENT_BYTES = 4 * 1024 * 1024
-
-
-def choose_relays(names: Collection[str]) -> list[str]:
-    """Returns the relays of a fleet; none for a small one.
-
-    All nodes that know the same names agree without a message.
-    """
-    if len(names) < SMALLEST_FLEET:
-        return []
-    return sorted(names, key=lambda n: xxhash.xxh3_64_intdigest(n.encode()))[
-        :RELAYS
-    ]
-
-
-def encode_batch(kind: str, since: str, batch: ObjectBatch) -> bytes:
-    """Returns the frame of changes."""
-    return encode(
-        RelayedBatch(
-            kind=kind,
-            since=since,
-            version=batch.version,
-            objects=tuple(
-                RelayedObject(
-                    name=event.object.name,
-                    version=event.object.version,
-                    body=cbor2.dumps(event.object.body),
-                    status=cbor2.dumps(dict(event.object.status)),
-                    deleted=event.deleted,
-                )
-                for event in batch.events
-            ),
-        )
-    )
-
-
-def decode_batch(message: RelayedBatch) -> ObjectBatch:
-    """Returns the changes of a message.
-
-    Raises:
-      MessageError: An object's content is no CBOR map.
-    """
-    try:
-        events = tuple(
-            ObjectEvent(
-                StoredObject(
-                    message.kind,
-                    told.name,
-                    told.version,
-                    dict(cbor2.loads(told.body)),
-                    status=dict(cbor2.loads(told.status)),
-                ),
-                told.deleted,
-            )
-            for told in message.objects
-        )
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
-        raise MessageError(f"broken object: {error}") from None
-    return ObjectBatch(events, message.version)
-
-
-class RelayServer:
-    """Passes on what this node reads from the object API.
-
-    Args:
-      timers: Timer service.
-      loads: Function that returns the work of all nodes.
-    """
-
-    def __init__(
-        self, timers: Timers, loads: Callable[[], tuple[EndpointWork, ...]]
-    ) -> None:
-        self._timers = timers
-        self._loads = loads
-        self._followers: dict[web.WebSocketResponse, asyncio.Transport] = {}
-        self._versions: dict[str, str] = {}
-        self._answered_s: dict[str, float] = {}
-
-    @property
-    def followers(self) -> int:
-        """Nodes that follow this one."""
-        return len(self._followers)
-
-    def publish(self, kind: str, since: str, batch: ObjectBatch) -> None:
-        """Passes on an answer of the object API."""
-        self._versions[kind] = batch.version
-        self._answered_s[kind] = self._timers.now()
-        if self._followers:
-            self._send(encode_batch(kind, since, batch))
-
-    def lose(self, kind: str) -> None:
-        """Notes that the object API does not answer about a kind."""
-        if self._answered_s.pop(kind, None) is not None:
-            self.send_heartbeat()
-
-    def send_heartbeat(self) -> None:
-        """Tells followers the age of what this node knows, and all work."""
-        if self._followers:
-            self._send(self._heartbeat())
-
-    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serves one follower until its connection ends."""
-        follower = web.WebSocketResponse(heartbeat=None)
-        await follower.prepare(request)
-        for kind, version in self._versions.items():
-            start = encode_batch(kind, version, ObjectBatch((), version))
-            await follower.send_bytes(start)
-        await follower.send_bytes(self._heartbeat())
-        self._followers[follower] = request.transport
-        try:
-            # Followers send nothing; this ends with their connection.
-            async for _ in follower:
-                pass
-        finally:
-            self._followers.pop(follower, None)
-        return follower
-
-    def _heartbeat(self) -> bytes:
-        now_s = self._timers.now()
-        return encode(
-            RelayHeartbeat(
-                ages=tuple(
-                    RelayAge(kind=kind, age_ms=int((now_s - at_s) * 1000))
-                    for kind, at_s in self._answered_s.items()
-                ),
-                loads=self._loads(),
-            )
-        )
-
-    def _send(self, frame: bytes) -> None:
-        for follower, transport in list(self._followers.items()):
-            if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-                del self._followers[follower]
-                transport.abort()
-            else:
-                task = asyncio.ensure_future(follower.send_bytes(frame))
-                task.add_done_callback(_note_closed)
-
-
-def _note_closed(task: asyncio.Future) -> None:
-    # A follower whose connection broke finds another relay.
-    error = None if task.cancelled() else task.exception()
-    if error is not None:
-        log.debug("relays: a follower has left: {!r}", error)
-
-
-@attrs.define
-class _FollowedKind:
-    """Changes of one kind as a relay tells them.
-
-    Attributes:
-      start: Version from which on all changes are known.
-      version: Version up to which all changes are known.
-      answered_s: When the object API last answered the relay, on the
-          monotonic clock of this node; None while it does not.
-      batches: Version before, and changes, of the newest batches.
-      changed: Set when there are changes, or the relay's knowledge is old.
-    """
-
-    start: int
-    version: int
-    answered_s: float | None = None
-    batches: deque[tuple[int, ObjectBatch]] = attrs.field(
-        factory=lambda: deque(maxlen=KEPT_BATCHES)
-    )
-    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    def add(self, since: int, batch: ObjectBatch) -> None:
-        """Takes changes; a gap before them starts anew."""
-        if since > self.version:
-            self.start = since
-            self.batches.clear()
-        if len(self.batches) == KEPT_BATCHES:
-            _, oldest = self.batches[0]
-            self.start = int(oldest.version)
-        self.version = max(self.version, int(batch.version))
-        if batch.events:
-            self.batches.append((since, batch))
-
-    def after(self, version: int) -> ObjectBatch:
-        """Returns the changes after a version that is known."""
-        events = [
-            event
-            for _, batch in self.batches
-            if int(batch.version) > version
-            for event in batch.events
-        ]
-        return ObjectBatch(tuple(events), str(max(version, self.version)))
 
 
 class RelayLink:
@@ -275,7 +68,7 @@
         self._timers = timers
         self._log = log
         self._rng = rng
-        self._kinds: dict[str, _FollowedKind] = {}
+        self._kinds: dict[str, FollowedKind] = {}
         self._relay: str | None = None
         self._heard_s = 0.0
         self._avoided: dict[str, float] = {}
@@ -424,7 +217,7 @@
         since = int(message.since)
         known = self._kinds.get(message.kind)
         if known is None:
-            known = _FollowedKind(since, since)
+            known = FollowedKind(since, since)
             self._kinds[message.kind] = known
         known.add(since, decode_batch(message))
         known.answered_s = self._heard_s
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/relayed_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -7,7 +7,8 @@
 from guavalane_core.exceptions import ObjectApiError
 from guavalane_core.objects import ObjectBatch, PollableObjectApi, StoredObject
 from guavalane_core.timers import Timers
-from guavalane_entry.gateway.relays import RelayLink, RelayServer
+from guavalane_entry.relays.link import RelayLink
+from guavalane_entry.relays.server import RelayServer
 
 # Wait of a relay's call about an urgent kind, in seconds. Its answer shows the
 # followers that the object API still serves the relay.
--- a/packages/guavalane-entry/tests/gateway/test_log_schema.py
+++ b/packages/guavalane-entry/tests/gateway/test_log_schema.py
@@ -5,10 +5,11 @@
 import ast
 import pathlib
 
-import guavalane_entry.gateway
+import guavalane_entry
 from guavalane_standins.log_schema import OPTIONAL, load_log_schema
 
-SOURCES = pathlib.Path(guavalane_entry.gateway.__file__).parent
+SOURCES = pathlib.Path(guavalane_entry.__file__).parent
+PACKAGES = ("gateway", "relays")
 # Event of the writer itself.
 OWN_EVENTS = {"log.dropped"}
 
@@ -20,7 +21,10 @@
     stand under `end`.
     """
     calls = {}
-    for path in SOURCES.glob("*.py"):
+    paths = [
+        path for name in PACKAGES for path in (SOURCES / name).glob("*.py")
+    ]
+    for path in paths:
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
@@ -36,7 +40,7 @@
 
 def read_ends():
     """Returns the events of requests that end."""
-    source = (SOURCES / "exchange.py").read_text(encoding="utf-8")
+    source = (SOURCES / "gateway" / "exchange.py").read_text(encoding="utf-8")
     return {
         node.args[0].value
         for node in ast.walk(ast.parse(source))
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -14,21 +14,19 @@
 from guavalane_core.placement import WorkTable
 from guavalane_core.placement.work import Load
 from guavalane_core.timers import LoopTimers
-from guavalane_entry.gateway import relays
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.listener import StatusListener
-from guavalane_entry.gateway.relayed_api import RelayedObjectApi
-from guavalane_entry.gateway.relays import (
-    HEARTBEAT_S,
-    PATH,
+from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.work_reports import VALID_S, WorkReports
+from guavalane_entry.relays import server
+from guavalane_entry.relays.choice import (
     RELAYS,
     SMALLEST_FLEET,
-    RelayLink,
-    RelayServer,
     choose_relays,
 )
-from guavalane_entry.gateway.settings import Address
-from guavalane_entry.gateway.work_reports import VALID_S, WorkReports
+from guavalane_entry.relays.link import RelayLink
+from guavalane_entry.relays.object_api import RelayedObjectApi
+from guavalane_entry.relays.server import HEARTBEAT_S, PATH, RelayServer
 from guavalane_standins.processes import free_port
 
 KIND = "servers"
@@ -338,7 +336,7 @@
         self, pair, monkeypatch
     ):
         store, relay, follower = pair
-        monkeypatch.setattr(relays, "MAX_UNSENT_BYTES", -1)
+        monkeypatch.setattr(server, "MAX_UNSENT_BYTES", -1)
         store.put("later")
         await relay.wait_for("later", 1.0)
         assert relay.server.followers == 0
