--- a/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -12,8 +12,7 @@
 # Endpoints whose entries expired during an outage of the discovery write them
 # again within about 2 s of its return. An endpoint that does not is gone, and
 # no request may reach it later than 2 s after the node could know that. The
-# difference covers the period of `expire` and the way of the last request. In
-# seconds.
+# difference covers the way of the last request. In seconds.
 RETURN_GRACE_S = 1.8
 # Shorter outages let no entry expire, in seconds.
 LONG_OUTAGE_S = 2.0
@@ -45,6 +44,11 @@
         """The newest endpoints that were removed for good."""
         return self._gone.keys()
 
+    @property
+    def next_expiry_s(self) -> float | None:
+        """Monotonic time at which the next grace ends; None if none runs."""
+        return min(self._lapsed.values(), default=None)
+
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Returns an endpoint; None if it is not known."""
         return self._endpoints.get(endpoint_id)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -159,9 +159,6 @@
             self._log,
             rng,
         )
-        self._endpoint_sink = EndpointSink(
-            self._view, endpoint_kind[1], self._log
-        )
         self._watches = self._make_watches(
             configuration_kind, endpoint_kind, move_kind
         )
@@ -231,7 +228,6 @@
         )
         self._copies.start()
         self._duties.start()
-        self._endpoint_sink.start()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Takes changed settings."""
@@ -318,7 +314,7 @@
             ),
             "endpoints": (
                 endpoint_kind[0],
-                self._endpoint_sink,
+                EndpointSink(self._view, endpoint_kind[1], self._log),
             ),
             "nodes": (
                 NODE_KIND,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -12,13 +12,11 @@
     VersionMove,
 )
 from guavalane_core.objects import ObjectEvent, StoredObject
+from guavalane_core.timers import Subscription
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindSink
 
-# Time between two looks for endpoints whose grace has ended, in seconds.
-EXPIRY_PERIOD_S = 0.05
-
 ConfigurationDecoder = Callable[[StoredObject], ForwardingConfiguration]
 T = TypeVar("T")
 EndpointDecoder = Callable[[StoredObject], Endpoint]
@@ -88,15 +86,25 @@
 
 
 class EndpointSink(_DecodingSink[Endpoint]):
-    """Keeps the directory of endpoints current."""
+    """Keeps the directory of endpoints current.
 
-    def start(self) -> None:
-        """Starts to look for endpoints whose grace has ended."""
-        self._view.timers.call_every(EXPIRY_PERIOD_S, self._expire)
+    Args:
+      view: State to change.
+      decode: Function that reads a stored endpoint; it raises
+          `ConfigurationError` for one that cannot be read.
+      log: Log of decisions.
+    """
+
+    def __init__(
+        self, view: NodeView, decode: EndpointDecoder, log: DecisionLog
+    ) -> None:
+        super().__init__(view, decode, log)
+        self._expiry: Subscription | None = None
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Takes a complete list."""
         self._view.directory.replace_all(self._read_all(objects), self._now())
+        self._plan_expiry()
 
     def merge(self, objects: list[StoredObject]) -> None:
         """Takes the list of another node.
@@ -106,20 +114,20 @@
         gone = self._view.directory.recently_gone
         kept = [stored for stored in objects if stored.name not in gone]
         self._view.directory.merge(self._read_all(kept), self._now())
+        self._plan_expiry()
 
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
         name = event.object.name
+        endpoint = None if event.deleted else self._read(event.object)
         if event.deleted:
             self._log.event("endpoint.removed", endpoint=name)
-            self._view.directory.remove(name, self._now())
-            return
-        endpoint = self._read(event.object)
         if endpoint is None:
             self._view.directory.remove(name, self._now())
-            return
-        self._note(endpoint)
-        self._view.directory.put(endpoint)
+            self._plan_expiry()
+        else:
+            self._note(endpoint)
+            self._view.directory.put(endpoint)
 
     def lose(self) -> None:
         """Keeps endpoints whose entries may expire meanwhile."""
@@ -142,9 +150,18 @@
             self._note(endpoint)
         return endpoints
 
+    def _plan_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+        end_s = self._view.directory.next_expiry_s
+        if end_s is not None:
+            left_s = max(0.0, end_s - self._now())
+            self._expiry = self._view.timers.call_later(left_s, self._expire)
+
     def _expire(self) -> None:
         for name in self._view.directory.expire(self._now()):
             self._log.event("endpoint.expired", endpoint=name)
+        self._plan_expiry()
 
     def _ignore(self, name: str, reason: str) -> None:
         self._log.event("endpoint.ignored", endpoint=name, reason=reason)
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -51,7 +51,6 @@
         self.view = NodeView(settings, self.timers, random.Random(1))
         log = DecisionLog("n1", self.timers.wall)
         self.sink = EndpointSink(self.view, decode, log)
-        self.sink.start()
 
     def is_used(self, name="e-1"):
         """Returns whether an endpoint takes new requests."""
