Let a restarted node take over the levels of allotments from its peers

Cause: a restarted node took the totals that the others had drawn since their start as drawn now, so its buckets fell to minus their size and it refused organisations below their limit until these had filled again. Change: reports tell the level of each bucket; the first report of a process that is older sets the baseline of its totals and the lowest level told is taken. Reports before the first configuration are not taken.

--- a/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -63,6 +63,16 @@
         inflow_per_s = self._rate_per_s * self._part
         return missing / inflow_per_s if inflow_per_s > 0 else float("inf")
 
+    def lower(self, level: float, now_s: float) -> None:
+        """Takes the level that another node knows, if it is lower."""
+        self._fill(now_s)
+        self._level = min(self._level, level)
+
+    def level_at(self, now_s: float) -> float:
+        """Returns the units in the bucket at a time."""
+        self._fill(now_s)
+        return self._level
+
     def draw_reported(self, units: float, now_s: float) -> None:
         """Takes off what another node has drawn."""
         self._fill(now_s)
--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -32,6 +32,7 @@
         self.set_tolerance(over_ratio, over_burst)
         self._allotments: dict[str, SharedAllotment] = {}
         self._drawn: dict[str, int] = {}
+        self._configured = False
         # Totals of other nodes by name and incarnation.
         self._reported: dict[str, tuple[int, dict[str, int]]] = {}
 
@@ -49,6 +50,7 @@
         self, organisations: Sequence[Organisation], now_s: float
     ) -> None:
         """Takes the limits of a configuration."""
+        self._configured = True
         limited = {o.name: o for o in organisations if o.rate_per_s > 0}
         for name in list(self._allotments):
             if name not in limited:
@@ -86,6 +88,39 @@
         allotment.give_back(units, now_s)
         self._drawn[name] -= units
 
+    def levels(self, now_s: float) -> dict[str, float]:
+        """Returns the units in each bucket, by organisation."""
+        return {
+            name: allotment.level_at(now_s)
+            for name, allotment in self._allotments.items()
+        }
+
+    def knows(self, node: str, incarnation: int) -> bool:
+        """Returns whether the totals of a process are known."""
+        known = self._reported.get(node)
+        return known is not None and known[0] == incarnation
+
+    def join(
+        self,
+        node: str,
+        incarnation: int,
+        totals: Mapping[str, int],
+        levels: Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Takes the first report of a process that is older than this one.
+
+        What it has drawn so far was drawn before, and most of it has flowed in
+        again. The levels that it knows tell what is left.
+        """
+        if not self._configured:
+            return
+        for name, level in levels.items():
+            allotment = self._allotments.get(name)
+            if allotment is not None:
+                allotment.lower(level, now_s)
+        self._reported[node] = (incarnation, dict(totals))
+
     def report(
         self,
         node: str,
@@ -93,7 +128,13 @@
         totals: Mapping[str, int],
         now_s: float,
     ) -> None:
-        """Takes off what another node has drawn since its last report."""
+        """Takes off what another node has drawn since its last report.
+
+        Before the limits are known, reports are not taken; totals are told
+        again.
+        """
+        if not self._configured:
+            return
         known = self._reported.get(node)
         if known is None or known[0] != incarnation:
             known = (incarnation, {})
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -690,14 +690,18 @@
     Attributes:
       organisation: Name of the organisation.
       units: Units admitted since the start of the process.
+      level: Units left in the bucket that all nodes share, as the node knows
+          it.
     """
 
     organisation: str
     units: int
+    level: int
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "organisation": options.Text(),
         "units": options.Integer(minimum=0),
+        "level": options.Integer(),
     }
 
 
--- a/packages/guavalane-core/tests/test_allotments.py
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -144,6 +144,84 @@
             units = sum(u for t, u in admitted if start_s <= t < end_s)
             assert units <= bound, (start_s, units / bound)
 
+    def play_restart(self, load):
+        """Returns the share of requests that nodes admit, and the units.
+
+        One node after the other restarts, each 3 s. A restarted node knows the
+        limits before it hears the others.
+
+        Args:
+          load: Units that are asked for, as a part of the allotment.
+        """
+        rng = random.Random(7)
+        organisation = self.organisation()
+        asking = load * RATE * 0.01 / 4833
+        ledgers = [AllotmentLedger(0.05, 70_000) for _ in range(NODES)]
+        started = [0] * NODES
+        for ledger in ledgers:
+            ledger.set_organisations([organisation], 0.0)
+        asked, admitted = 0, []
+        for step in range(4000):
+            now_s = step * 0.01
+            if step >= 1000 and step % 300 == 0:
+                restarted = step // 300 % NODES
+                ledgers[restarted] = AllotmentLedger(0.05, 70_000)
+                ledgers[restarted].set_organisations([organisation], now_s)
+                started[restarted] = step
+            if rng.random() < asking:
+                units = rng.choice([500, 2000, 12_000])
+                asked += 1
+                if rng.choice(ledgers).try_draw("org", units, now_s) == 0:
+                    admitted.append((now_s, units))
+            if step % int(REPORT_S / 0.01):
+                continue
+            told = [
+                (dict(ledger.drawn), ledger.levels(now_s)) for ledger in ledgers
+            ]
+            for i, ledger in enumerate(ledgers):
+                for j, (drawn, levels) in enumerate(told):
+                    if i == j:
+                        continue
+                    if started[j] < started[i] and not ledger.knows(
+                        f"n{j}", started[j]
+                    ):
+                        ledger.join(f"n{j}", started[j], drawn, levels, now_s)
+                    else:
+                        ledger.report(f"n{j}", started[j], drawn, now_s)
+        return len(admitted) / asked, admitted
+
+    def test_a_restarted_node_refuses_nothing_below_the_limit(self):
+        """Guards against taking what others drew before as drawn now."""
+        share, _ = self.play_restart(load=0.55)
+        assert share == 1.0
+
+    def test_restarts_under_overload_keep_the_allotment(self):
+        _, admitted = self.play_restart(load=3.0)
+        bound = 1.1 * (RATE * WINDOW_S + BURST) + 140_000
+        for start_s in range(0, 32):
+            end_s = start_s + WINDOW_S
+            units = sum(u for t, u in admitted if start_s <= t < end_s)
+            assert units <= bound, (start_s, units / bound)
+
+    def test_a_restarted_node_takes_the_lowest_level_that_it_is_told(self):
+        ledger = AllotmentLedger()
+        ledger.set_organisations([self.organisation()], 0.0)
+        ledger.join("n1", 1, {"org": 900_000}, {"org": 20_000}, 0.0)
+        ledger.join("n2", 1, {"org": 900_000}, {"org": 15_000}, 0.0)
+        assert ledger.try_draw("org", 16_000, 0.0) > 0
+        assert ledger.try_draw("org", 15_000, 0.0) == 0
+        ledger.report("n1", 1, {"org": 910_000}, 0.5)
+        assert ledger.try_draw("org", 9_000, 0.5) > 0
+        assert ledger.try_draw("org", 8_000, 0.5) == 0
+
+    def test_reports_before_the_limits_are_known_are_not_lost(self):
+        ledger = AllotmentLedger()
+        ledger.report("n1", 1, {"org": 30_000}, 0.0)
+        assert not ledger.knows("n1", 1)
+        ledger.set_organisations([self.organisation()], 0.0)
+        ledger.report("n1", 1, {"org": 30_000}, 0.0)
+        assert ledger.try_draw("org", 7_000, 0.0) > 0
+
     def test_a_lost_or_doubled_report_changes_nothing(self):
         ledger = AllotmentLedger()
         ledger.set_organisations([self.organisation()], 0.0)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -221,10 +221,7 @@
             configuration=table.configuration.version if table else 0,
             duties=self._duties(),
             work=to_messages(view.work.own_loads()),
-            allotments=tuple(
-                AllotmentUse(organisation=name, units=max(0, units))
-                for name, units in view.allotments.drawn.items()
-            ),
+            allotments=tuple(self._allotment_uses()),
             usage=tuple(
                 WindowUsage(
                     window=count.window,
@@ -248,6 +245,16 @@
             moves=tuple(self._move_outcomes()),
         )
 
+    def _allotment_uses(self) -> Iterator[AllotmentUse]:
+        allotments = self._view.allotments
+        levels = allotments.levels(self._timers.now())
+        for name, units in allotments.drawn.items():
+            yield AllotmentUse(
+                organisation=name,
+                units=max(0, units),
+                level=int(levels.get(name, 0)),
+            )
+
     def _recent_usage(self) -> Iterable[WindowCount]:
         large = len(self._view.peers) > NODES_AT_PERIOD
         if large and self._sequence % USAGE_REPORTS:
@@ -307,8 +314,7 @@
         view.clock.observe(node, report.wall_ms / 1000)
         loads = from_messages(report.work)
         view.work.report(node, loads, now_s + self._silent_s())
-        totals = {use.organisation: use.units for use in report.allotments}
-        view.allotments.report(node, report.incarnation, totals, now_s)
+        self._apply_allotments(report, now_s)
         view.usage.report(
             node,
             report.incarnation,
@@ -327,6 +333,17 @@
             view.prefixes.record_part(use.endpoint, use.part, now_s)
         self._apply_moves(report)
 
+    def _apply_allotments(self, report: NodeReport, now_s: float) -> None:
+        allotments = self._view.allotments
+        node, incarnation = report.node, report.incarnation
+        totals = {use.organisation: use.units for use in report.allotments}
+        is_older = incarnation < self._incarnation
+        if is_older and not allotments.knows(node, incarnation):
+            levels = {use.organisation: use.level for use in report.allotments}
+            allotments.join(node, incarnation, totals, levels, now_s)
+        else:
+            allotments.report(node, incarnation, totals, now_s)
+
     def _apply_moves(self, report: NodeReport) -> None:
         counts: dict[tuple[str, str], list[VersionCount]] = {}
         for told in report.moves:
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -76,6 +76,33 @@
         assert receiver.newest_configuration() == (1, "n1")
         assert receiver.address_of("n1") == SENDER
 
+    def test_a_restarted_node_takes_over_what_is_left_of_an_allotment(
+        self, timers
+    ):
+        """Guards against refusals below the limit after each restart."""
+        view, reports = make_node(timers, "n1")
+        for _ in range(10):
+            view.allotments.try_draw("org", 100, timers.now())
+            timers.advance(10.0)
+        view.allotments.try_draw("org", 40, timers.now())
+        fresh, receiver = make_node(timers, "n2", incarnation=2)
+        receiver.receive(encode(reports.make()), SENDER)
+        assert fresh.allotments.try_draw("org", 61, timers.now()) > 0
+        assert fresh.allotments.try_draw("org", 60, timers.now()) == 0
+        timers.advance(1.0)
+        view.allotments.try_draw("org", 10, timers.now())
+        receiver.receive(encode(reports.make()), SENDER)
+        assert fresh.allotments.try_draw("org", 1, timers.now()) > 0
+
+    def test_a_process_that_starts_later_counts_from_its_start(self, timers):
+        """Guards against a restarted node whose first draws are not seen."""
+        view, reports = make_node(timers, "n1", incarnation=2)
+        view.allotments.try_draw("org", 70, 0.0)
+        old, receiver = make_node(timers, "n2", incarnation=1)
+        receiver.receive(encode(reports.make()), SENDER)
+        assert old.allotments.try_draw("org", 31, 0.0) > 0
+        assert old.allotments.try_draw("org", 30, 0.0) == 0
+
     def test_nodes_stop_a_bad_version_by_the_sum_of_their_attempts(
         self, timers
     ):
