Let all kinds return together when the object API is back

Cause: after a cut each kind found out by itself that the store answers, up to a time-out of a call and the longest delay later than the first.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -21,6 +21,7 @@
 from guavalane_entry.gateway.channels import EndpointChannels
 from guavalane_entry.gateway.cloud import Cloud
 from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.contact import ApiContact
 from guavalane_entry.gateway.copies import PATH, CopyReader, encode_copy
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.duties import (
@@ -332,9 +333,16 @@
             (configuration_kind[0], endpoint_kind[0]),
             self._timers,
         )
+        contact = ApiContact()
         return {
             name: KindWatch(
-                api, kind, sink, self._timers, self._log, self._view.rng
+                api,
+                kind,
+                sink,
+                self._timers,
+                self._log,
+                self._view.rng,
+                contact,
             )
             for name, (kind, sink) in kinds.items()
         }
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
+from typing import Any
 
 from guavalane_core.exceptions import ObjectApiError, WatchGapError
 from guavalane_core.objects import (
@@ -14,6 +15,7 @@
 )
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
+from guavalane_entry.gateway.contact import ApiContact
 from guavalane_entry.gateway.decision_log import DecisionLog
 
 # Longest wait of one call, in seconds. Each call has its price, and a broken
@@ -24,6 +26,9 @@
 # longest is short against the time in which a change has to be in force.
 FIRST_DELAY_S = 0.1
 LONGEST_DELAY_S = 0.8
+# Longest delay of the one kind that finds out for all that the object API is
+# back, in seconds.
+PROBE_DELAY_S = 0.4
 
 
 class KindSink:
@@ -61,6 +66,7 @@
       timers: Timer service.
       log: Log of decisions.
       rng: Source of jitter.
+      contact: What the copies of other kinds know about the object API.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         timers: Timers,
         log: DecisionLog,
         rng: random.Random,
+        contact: ApiContact | None = None,
     ) -> None:
         self._api = api
         self._kind = kind
@@ -78,6 +85,7 @@
         self._timers = timers
         self._log = log
         self._rng = rng
+        self._contact = contact or ApiContact()
         self._version: str | None = None
         self._answered_s: float | None = None
         self._lost_s: float | None = None
@@ -139,7 +147,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                await self._step()
+                await self._attempt()
             except WatchGapError:
                 self._log.event("store.gap", kind=self._kind)
                 self._version = None
@@ -147,6 +155,30 @@
                 await self._wait_after(error)
                 self._version = None
 
+    async def _attempt(self) -> None:
+        """Makes a step; a call that began in an outage ends with it."""
+        is_lost = self._lost_s is not None
+        if is_lost and await self._ends_before_return(self._step()):
+            return
+        await self._step()
+
+    async def _ends_before_return(
+        self, work: Coroutine[Any, Any, None]
+    ) -> bool:
+        """Runs work until the object API is back; tells whether it ended."""
+        task = asyncio.create_task(work)
+        signal = asyncio.create_task(self._contact.wait_return())
+        try:
+            await asyncio.wait(
+                {task, signal}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if task.done():
+                task.result()
+                return True
+            return False
+        finally:
+            await cancel_tasks(task, signal)
+
     async def _step(self) -> None:
         if self._version is None:
             objects, version = await self._api.list(self._kind)
@@ -173,12 +205,14 @@
         self._failures = 0
         if self._lost_s is not None:
             self._lost_s = None
+            self._contact.regain(self._kind)
             self._log.event("store.regained", kind=self._kind)
             self._sink.regain()
 
     async def _wait_after(self, error: ObjectApiError) -> None:
         if self._lost_s is None:
             self._lost_s = self._timers.now()
+            self._contact.lose(self._kind)
             self._log.event(
                 "store.lost",
                 kind=self._kind,
@@ -186,6 +220,9 @@
                 version=self._version,
             )
             self._sink.lose()
-        delay_s = min(LONGEST_DELAY_S, FIRST_DELAY_S * 2**self._failures)
+        is_prober = self._contact.is_prober(self._kind)
+        longest_s = PROBE_DELAY_S if is_prober else LONGEST_DELAY_S
+        delay_s = min(longest_s, FIRST_DELAY_S * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
-        await self._timers.sleep(delay_s * (0.5 + self._rng.random()))
+        pause = self._timers.sleep(delay_s * (0.5 + self._rng.random()))
+        await self._ends_before_return(pause)
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -14,6 +14,7 @@
 )
 from guavalane_core.objects import ObjectBatch, ObjectEvent, StoredObject
 from guavalane_core.timers import LoopTimers, ManualTimers
+from guavalane_entry.gateway.contact import ApiContact
 from guavalane_entry.gateway.copies import (
     PATH,
     CopyReader,
@@ -23,7 +24,11 @@
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.listener import StatusListener
 from guavalane_entry.gateway.settings import Address
-from guavalane_entry.gateway.watch import KindSink, KindWatch
+from guavalane_entry.gateway.watch import (
+    PROBE_DELAY_S,
+    KindSink,
+    KindWatch,
+)
 from guavalane_standins.processes import free_port
 
 
@@ -179,6 +184,118 @@
         await watch.stop()
 
 
+class CutApi:
+    """Object API behind a link that may be cut; a call then hangs."""
+
+    CALL_S = 0.6
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.is_cut = False
+        self.slow_kinds = {}
+        self.calls = 0
+
+    async def list(self, kind):
+        """Returns an empty list, or fails after the time of a call."""
+        self.calls += 1
+        if self.is_cut:
+            await self.timers.sleep(self.CALL_S)
+            raise ObjectApiUnavailableError("cut")
+        await self.timers.sleep(self.slow_kinds.get(kind, 0.001))
+        return [], "1"
+
+    async def poll(self, kind, version, wait_s):
+        """Waits; it fails when the link is cut."""
+        for _ in range(int(wait_s / 0.05)):
+            await self.timers.sleep(0.05)
+            if self.is_cut:
+                raise ObjectApiUnavailableError("cut")
+        return ObjectBatch((), version)
+
+
+class TestCommonReturn:
+    """Guards against kinds that find out late that an outage has ended.
+
+    In a day of the bench one kind was read 1.6 s after another, and a node
+    used an endpoint for longer than the bound after the store had told that
+    it was gone.
+    """
+
+    KINDS = ("config", "nodes", "rollouts", "servers")
+
+    def make(self, seed):
+        """Returns timers, an API and watches of all kinds."""
+        timers = ManualTimers()
+        api = CutApi(timers)
+        log = DecisionLog("n1", timers.wall)
+        rng = random.Random(seed)
+        contact = ApiContact()
+        watches = [
+            KindWatch(api, kind, RecordingSink(), timers, log, rng, contact)
+            for kind in self.KINDS
+        ]
+        for watch in watches:
+            watch.start()
+        return timers, api, watches
+
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_all_kinds_are_read_soon_after_a_cut(self, seed):
+        timers, api, watches = self.make(seed)
+        await timers.run_for(1.0)
+        api.is_cut = True
+        await timers.run_for(10.0 + seed * 0.13)
+        assert all(watch.lost for watch in watches)
+        api.is_cut = False
+        # The longest call under way and the longest delay of a probe.
+        await timers.run_for(CutApi.CALL_S + 1.5 * PROBE_DELAY_S + 0.05)
+        assert not any(watch.lost for watch in watches)
+        for watch in watches:
+            await watch.stop()
+
+    async def test_the_first_kind_that_returns_takes_the_others_along(self):
+        timers, api, watches = self.make(1)
+        await timers.run_for(1.0)
+        api.is_cut = True
+        await timers.run_for(10.0)
+        api.is_cut = False
+        while all(watch.lost for watch in watches):
+            await timers.run_for(0.01)
+        await timers.run_for(0.05)
+        assert not any(watch.lost for watch in watches)
+        for watch in watches:
+            await watch.stop()
+
+    async def test_a_slow_kind_is_not_begun_again_at_each_answer(self):
+        timers, api, watches = self.make(1)
+        await timers.run_for(1.0)
+        api.slow_kinds["servers"] = 1.2
+        api.is_cut = True
+        await timers.run_for(5.0)
+        api.is_cut = False
+        await timers.run_for(1.5)
+        for _ in range(6):
+            # Another kind fails and is answered again, over and over.
+            watches[0]._lost_s = timers.now()
+            watches[0]._contact.lose("config")
+            watches[0]._answered()
+            await timers.run_for(0.2)
+        assert not watches[3].lost
+        for watch in watches:
+            await watch.stop()
+
+    async def test_an_outage_costs_few_calls(self):
+        timers, api, watches = self.make(1)
+        await timers.run_for(1.0)
+        api.is_cut = True
+        await timers.run_for(1.0)
+        calls = api.calls
+        await timers.run_for(20.0)
+        # One kind is tried each 1.0 s, the other three each 1.4 s.
+        assert api.calls - calls <= 20 / 0.75 + 3 * 20 / 1.0
+        for watch in watches:
+            await watch.stop()
+
+
 class FakeReports:
     """Reports of one other node at a known address."""
 
