Count the draws of processes that started together once

Cause: a node took the level of one that started just before it, and that level held draws of later ones whose first report it then counted again. Change: only processes that started more than 1 s earlier tell their level; the totals of others count from their start. The refusal tells what the request counts, what is left and what flows in.

--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -88,6 +88,11 @@
         allotment.give_back(units, now_s)
         self._drawn[name] -= units
 
+    def level(self, name: str) -> float:
+        """Returns the units in a bucket at the last draw; 0 without one."""
+        allotment = self._allotments.get(name)
+        return allotment.level if allotment is not None else 0.0
+
     def levels(self, now_s: float) -> dict[str, float]:
         """Returns the units in each bucket, by organisation."""
         return {
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -99,8 +99,11 @@
             organisation.name, units, view.timers.now()
         )
         if wait_s > 0:
+            left = view.allotments.level(organisation.name)
             raise AllotmentSpentError(
-                f"the allotment of {organisation.name} is used up",
+                f"the allotment of {organisation.name} is used up: the request"
+                f" counts {units}, {left:.0f} are left,"
+                f" {organisation.rate_per_s:g}/s flow in",
                 spread(view, min(wait_s, MAX_ALLOTMENT_RETRY_S)),
             )
     return Admitted(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -52,6 +52,9 @@
 # A node that is silent for this time, in seconds, or for as many periods, may
 # use its part of each allotment unseen. What others use meanwhile counts twice.
 UNSEEN_S = 1.0
+# Processes whose starts are at most this far apart, in milliseconds, started
+# together. What one of them has drawn since counts for the others.
+COMMON_START_MS = 1000
 
 
 def report_period_s(nodes: int) -> float:
@@ -337,7 +340,7 @@
         allotments = self._view.allotments
         node, incarnation = report.node, report.incarnation
         totals = {use.organisation: use.units for use in report.allotments}
-        is_older = incarnation < self._incarnation
+        is_older = self._incarnation - incarnation > COMMON_START_MS
         if is_older and not allotments.knows(node, incarnation):
             levels = {use.organisation: use.level for use in report.allotments}
             allotments.join(node, incarnation, totals, levels, now_s)
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from guavalane_core.allotments import SharedAllotment
 from guavalane_core.forwarding import MovePhase, Organisation, VersionMove
 from guavalane_core.messages import Ping, encode
 from guavalane_core.timers import ManualTimers
@@ -85,7 +86,7 @@
             view.allotments.try_draw("org", 100, timers.now())
             timers.advance(10.0)
         view.allotments.try_draw("org", 40, timers.now())
-        fresh, receiver = make_node(timers, "n2", incarnation=2)
+        fresh, receiver = make_node(timers, "n2", incarnation=90_001)
         receiver.receive(encode(reports.make()), SENDER)
         assert fresh.allotments.try_draw("org", 61, timers.now()) > 0
         assert fresh.allotments.try_draw("org", 60, timers.now()) == 0
@@ -103,6 +104,47 @@
         assert old.allotments.try_draw("org", 31, 0.0) > 0
         assert old.allotments.try_draw("org", 30, 0.0) == 0
 
+    def test_nodes_that_start_together_agree_on_what_is_left(self, timers):
+        """Guards against draws that count twice after a common start.
+
+        A node that took the level of one that started just before it also
+        counted the draws of the others in that level once more.
+        """
+        nodes = [
+            make_node(timers, f"n{number}", incarnation=1000 + 10 * number)
+            for number in range(7)
+        ]
+        whole = SharedAllotment(10.0, 100.0, timers.now())
+
+        # Reports to a node that does not know the limits yet are not taken.
+        lost = {(4, 3), (5, 3), (6, 3)}
+
+        def send(sender):
+            frame = encode(nodes[sender][1].make())
+            for receiver, (_, others) in enumerate(nodes):
+                if (sender, receiver) in lost:
+                    lost.remove((sender, receiver))
+                elif sender != receiver:
+                    others.receive(frame, SENDER)
+
+        # All have drawn before the first report, and the node that started
+        # first reports last.
+        for step in range(42):
+            view, _ = nodes[step % 7]
+            assert view.allotments.try_draw("org", 2, timers.now()) == 0
+            assert whole.try_draw(2, timers.now()) == 0
+            timers.advance(0.05)
+            if step >= 7:
+                send(6 - step % 7)
+        for sender in range(7):
+            send(sender)
+        left = whole.level_at(timers.now())
+        for view, _ in nodes:
+            level = view.allotments.levels(timers.now())["org"]
+            # Until the first reports, 0.35 s, a node took its bucket for full
+            # and inflow of 10/s was lost to it.
+            assert abs(level - left) <= 3.5
+
     def test_nodes_stop_a_bad_version_by_the_sum_of_their_attempts(
         self, timers
     ):
