Start a new trial for an order that is given again after its end

Cause: found by reading. An order for the version of an ended move kept what had condemned that version, so it was rolled back at once; and the list of another node, which may be older, could set an ended move running again. Two of the three new tests failed before. Change: an order after the end starts a new trial, and a copy of another node never takes a phase back.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/version_move.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/version_move.py
@@ -15,6 +15,18 @@
     COMPLETED = "completed"
     ROLLED_BACK = "rolled_back"
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the move is over."""
+        return self in (MovePhase.COMPLETED, MovePhase.ROLLED_BACK)
+
+    @property
+    def rank(self) -> int:
+        """Number that rises from phase to phase of one move."""
+        if self.has_ended:
+            return 2
+        return 1 if self is MovePhase.RUNNING else 0
+
 
 @attrs.frozen
 class VersionMove:
--- a/packages/guavalane-core/src/guavalane_core/moves/table.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/table.py
@@ -74,13 +74,29 @@
         """Moves by service."""
         return self._moves
 
-    def offer(self, move: VersionMove, now_s: float) -> None:
-        """Takes an order or its new phase."""
+    def offer(
+        self, move: VersionMove, now_s: float, *, may_be_old: bool = False
+    ) -> None:
+        """Takes an order or its new phase.
+
+        An order for a version whose move has ended starts a new trial: what
+        condemned the version may have been repaired since.
+
+        Args:
+          move: Order.
+          now_s: Monotonic time in seconds.
+          may_be_old: Whether a newer state of the order may be known, as with
+              the copy of another node. A phase then never goes back.
+        """
         known = self._moves.get(move.service)
         if known is None or known.move.target != move.target:
             self._moves[move.service] = FollowedMove(move, now_s)
+        elif may_be_old and move.phase.rank < known.move.phase.rank:
             return
-        known.move = move
+        elif known.move.phase.has_ended and not move.phase.has_ended:
+            self._moves[move.service] = FollowedMove(move, now_s)
+        else:
+            known.move = move
 
     def withdraw(self, service: str) -> None:
         """Forgets the move of a service."""
--- a/packages/guavalane-core/tests/moves/test_table.py
+++ b/packages/guavalane-core/tests/moves/test_table.py
@@ -106,6 +106,43 @@
         assert versions(allowed) == {"v1", "v2"}
         assert table.moves["app"].seen_s == 5.0
 
+    @pytest.mark.parametrize(
+        "ended", [MovePhase.ROLLED_BACK, MovePhase.COMPLETED]
+    )
+    def test_the_same_order_after_the_end_is_a_new_trial(
+        self, table, endpoints, ended
+    ):
+        """Guards against a repaired version that is condemned unheard."""
+        table.offer(make_move(), 0.0)
+        table.moves["app"].fault = "failures"
+        table.offer(make_move(ended), 5.0)
+        table.offer(make_move(MovePhase.ORDERED), 60.0)
+        followed = table.moves["app"]
+        assert followed.fault == ""
+        assert followed.next_phase(60.0) is MovePhase.RUNNING
+        table.offer(make_move(), 60.5)
+        assert table.moves["app"].next_phase(61.0) is None
+        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        assert versions(allowed) == {"v2"}
+
+    @pytest.mark.parametrize("stale", [MovePhase.ORDERED, MovePhase.RUNNING])
+    def test_an_old_copy_does_not_bring_a_stopped_version_back(
+        self, table, endpoints, stale
+    ):
+        """Guards against a node that has the list of one that is behind."""
+        table.offer(make_move(), 0.0)
+        table.offer(make_move(MovePhase.ROLLED_BACK), 5.0)
+        table.offer(make_move(stale), 6.0, may_be_old=True)
+        for draw in (0.0, 0.5, 1.0):
+            allowed = table.allowed("app", endpoints, draw, first=True)
+            assert versions(allowed) == {"v1"}
+
+    def test_a_copy_may_be_ahead(self, table, endpoints):
+        table.offer(make_move(), 0.0)
+        table.offer(make_move(MovePhase.COMPLETED), 5.0, may_be_old=True)
+        allowed = table.allowed("app", endpoints, 0.5, first=True)
+        assert versions(allowed) == {"v2"}
+
     def test_a_withdrawn_order_frees_all_versions(self, table, endpoints):
         table.offer(make_move(), 0.0)
         table.withdraw("app")
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -240,7 +240,7 @@
     def merge(self, objects: list[StoredObject]) -> None:
         """Takes the list of another node; an order that it lacks stays."""
         for stored in objects:
-            self._take(stored)
+            self._take(stored, may_be_old=True)
 
     def apply(self, event: ObjectEvent) -> None:
         """Takes one change."""
@@ -252,11 +252,13 @@
     def _ignore(self, name: str, reason: str) -> None:
         self._log.event("move.ignored", name=name, reason=reason)
 
-    def _take(self, stored: StoredObject) -> None:
+    def _take(self, stored: StoredObject, *, may_be_old: bool = False) -> None:
         move = self._read(stored)
         if move is None:
             return
-        self._view.moves.offer(move, self._view.timers.now())
+        self._view.moves.offer(
+            move, self._view.timers.now(), may_be_old=may_be_old
+        )
         self._log.event(
             "move.offered",
             service=move.service,
