--- a/packages/guavalane-core/tests/test_allotments.py
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -222,6 +222,61 @@
         ledger.report("n1", 1, {"org": 30_000}, 0.0)
         assert ledger.try_draw("org", 7_000, 0.0) > 0
 
+    def play_common_start(self, load, nodes, heard_s):
+        """Returns the times and units of what nodes admit and refuse.
+
+        All nodes start at once with full buckets and hear each other later.
+
+        Args:
+          load: Units that are asked for, as a part of the allotment.
+          nodes: Number of nodes.
+          heard_s: Time until each node hears all others, in seconds.
+        """
+        rng = random.Random(11)
+        rate = 300_000.0
+        organisation = Organisation(
+            "org", frozenset({"k"}), rate_per_s=rate, burst=rate
+        )
+        asking = load * rate * 0.01 / 4833
+        ledgers = [AllotmentLedger(0.05, 70_000) for _ in range(nodes)]
+        for ledger in ledgers:
+            ledger.set_organisations([organisation], 0.0)
+            ledger.set_part(1 / nodes, 0.0)
+        admitted, refused = [], []
+        for step in range(1000):
+            now_s = step * 0.01
+            for _ in range(int(asking) + (rng.random() < asking % 1)):
+                units = rng.choice([500, 2000, 12_000])
+                ledger = rng.choice(ledgers)
+                passes = ledger.try_draw("org", units, now_s) == 0
+                (admitted if passes else refused).append((now_s, units))
+            if now_s < heard_s or step % int(REPORT_S / 0.01):
+                continue
+            told = [dict(ledger.drawn) for ledger in ledgers]
+            for i, ledger in enumerate(ledgers):
+                for j, drawn in enumerate(told):
+                    if i != j:
+                        ledger.report(f"n{j}", 1, drawn, now_s)
+                ledger.set_part(1.0, now_s)
+        return rate, admitted, refused
+
+    def test_a_common_start_leaves_the_bucket_full(self):
+        """Guards against a bucket that lies at its part of before.
+
+        After a power loss of 74 nodes, a quarter of all requests were refused
+        for 2 s, although the nodes heard each other after 0.8 s.
+        """
+        _, _, refused = self.play_common_start(0.55, 74, heard_s=0.75)
+        assert not [t for t, _ in refused if t > 0.76]
+
+    def test_a_common_start_under_overload_keeps_the_allotment(self):
+        rate, admitted, _ = self.play_common_start(3.0, 74, heard_s=0.75)
+        bound = 1.1 * (rate * WINDOW_S + rate) + 140_000
+        for start_s in range(0, 3):
+            end_s = start_s + WINDOW_S
+            units = sum(u for t, u in admitted if start_s <= t < end_s)
+            assert units <= bound, (start_s, units / bound)
+
     def test_a_lost_or_doubled_report_changes_nothing(self):
         ledger = AllotmentLedger()
         ledger.set_organisations([self.organisation()], 0.0)
