Send the first report of a node soon after its start

Change: the first report follows the list of nodes, 0.1 s after the start at the earliest, and its slices are 25 ms apart.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -42,6 +42,10 @@
 # then drops its tail.
 SLICE = 8
 SLICE_PERIOD_S = 0.05
+# Time from the start to the first report, in seconds, and between its slices.
+# Until others are heard, a node may draw its part of each allotment only.
+FIRST_REPORT_S = 0.1
+FIRST_SLICE_PERIOD_S = 0.025
 # In a large fleet usage, the longest part of a report, goes with every second
 # one: its figures are fixed after four.
 USAGE_REPORTS = 2
@@ -120,7 +124,20 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(self), (address.host, address.port)
         )
+        self.begin()
+
+    def begin(self) -> None:
+        """Starts to send reports over a socket that is open."""
         self._schedule()
+        self._timers.call_later(FIRST_REPORT_S, self._send_first)
+
+    def _send_first(self) -> None:
+        if self._sequence:
+            return
+        if self._view.peers:
+            self.send(FIRST_SLICE_PERIOD_S)
+        else:
+            self._timers.call_later(FIRST_REPORT_S / 2, self._send_first)
 
     def _schedule(self) -> None:
         spread = 1 + JITTER * (2 * self._view.rng.random() - 1)
@@ -181,27 +198,33 @@
             default=(0, ""),
         )
 
-    def send(self) -> None:
-        """Sends one report to every other node."""
+    def send(self, slice_period_s: float = SLICE_PERIOD_S) -> None:
+        """Sends one report to every other node.
+
+        Args:
+          slice_period_s: Time between slices in a large fleet, in seconds.
+        """
         if self._transport is None:
             return
         frame = encode(self.make())
         peers = list(self._view.peers)
         if len(peers) > NODES_AT_PERIOD:
             self._view.rng.shuffle(peers)
-            self._send_slices(frame, peers)
+            self._send_slices(frame, peers, slice_period_s)
         else:
             for peer in peers:
                 self.send_to(peer, frame)
         self._share_allotments()
 
-    def _send_slices(self, frame: bytes, peers: list[str]) -> None:
+    def _send_slices(
+        self, frame: bytes, peers: list[str], period_s: float
+    ) -> None:
         for peer in peers[:SLICE]:
             self.send_to(peer, frame)
         rest = peers[SLICE:]
         if rest:
             self._timers.call_later(
-                SLICE_PERIOD_S, lambda: self._send_slices(frame, rest)
+                period_s, lambda: self._send_slices(frame, rest, period_s)
             )
 
     def send_to(self, node: str, frame: bytes) -> None:
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -270,6 +270,35 @@
             at_once = [t for t, _ in sent if 0 <= t - start_s < 0.05]
             assert len(at_once) * UNFRAGMENTED_BYTES <= 31_000
 
+    async def test_a_started_node_is_soon_heard_by_a_large_fleet(self, timers):
+        """Guards against long refusals after a common start.
+
+        Until it hears the others, a node may draw its part of each allotment
+        only.
+        """
+        view, reports = make_node(timers, "n1")
+        sent = []
+
+        class Transport:
+            """Keeps what is sent, and when."""
+
+            def sendto(self, frame, address):
+                sent.append((timers.now(), address[1]))
+
+        reports._transport = Transport()
+        reports.begin()
+        timers.advance(0.12)
+        assert not sent
+        # The list of nodes has come.
+        for number in range(79):
+            view.peers[f"p{number}"] = f"127.0.0.1:{7600 + number}"
+        timers.advance(0.4)
+        assert {port for _, port in sent} == set(range(7600, 7679))
+        # A thin link of 5 Mbit/s carries 15 KB in 25 ms.
+        for start_s, _ in sent:
+            at_once = [t for t, _ in sent if 0 <= t - start_s < 0.0249]
+            assert len(at_once) * UNFRAGMENTED_BYTES <= 15_600
+
     def test_a_node_takes_a_bounded_number_of_reports(self):
         assert report_period_s(8) == REPORT_PERIOD_S
         for nodes in (8, 16, 80, 550):
