--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -128,16 +128,22 @@
 
     def begin(self) -> None:
         """Starts to send reports over a socket that is open."""
-        self._schedule()
-        self._timers.call_later(FIRST_REPORT_S, self._send_first)
+        latest_s = self._timers.now() + REPORT_PERIOD_S
+        self._timers.call_later(
+            FIRST_REPORT_S, lambda: self._send_first(latest_s)
+        )
 
-    def _send_first(self) -> None:
-        if self._sequence:
+    def _send_first(self, latest_s: float) -> None:
+        """Reports once other nodes are known, then each period."""
+        if self._transport is None:
             return
-        if self._view.peers:
+        if self._view.peers or self._timers.now() >= latest_s:
+            self._schedule()
             self.send(FIRST_SLICE_PERIOD_S)
         else:
-            self._timers.call_later(FIRST_REPORT_S / 2, self._send_first)
+            self._timers.call_later(
+                FIRST_REPORT_S / 2, lambda: self._send_first(latest_s)
+            )
 
     def _schedule(self) -> None:
         spread = 1 + JITTER * (2 * self._view.rng.random() - 1)
