--- a/packages/guavalane-core/src/guavalane_core/routing/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/routing/__init__.py
@@ -2,24 +2,27 @@
 
 from __future__ import annotations
 
-from guavalane_core.lazy_exports import lazy_exports
-
-__getattr__, __all__ = lazy_exports(
-    __name__,
-    {
-        "ejection": ("OutlierEjector",),
-        "policies": (
-            "POLICIES",
-            "Policy",
-        ),
-        "preferences": ("keep_preferred",),
-        "prefix_aware": ("PrefixAware",),
-        "prefix_index": (
-            "CacheChange",
-            "CacheEvent",
-            "PrefixIndex",
-        ),
-        "subset": ("choose_subset",),
-        "view": ("EndpointView",),
-    },
+from guavalane_core.routing.ejection import OutlierEjector
+from guavalane_core.routing.policies import POLICIES, Policy
+from guavalane_core.routing.preferences import keep_preferred
+from guavalane_core.routing.prefix_aware import PrefixAware
+from guavalane_core.routing.prefix_index import (
+    CacheChange,
+    CacheEvent,
+    PrefixIndex,
 )
+from guavalane_core.routing.subset import choose_subset
+from guavalane_core.routing.view import EndpointView
+
+__all__ = [
+    "POLICIES",
+    "CacheChange",
+    "CacheEvent",
+    "EndpointView",
+    "OutlierEjector",
+    "Policy",
+    "PrefixAware",
+    "PrefixIndex",
+    "choose_subset",
+    "keep_preferred",
+]
