--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -15,8 +15,11 @@
     """Guards against promises that break under faults in series."""
 
     @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
-    async def test_no_promise_is_broken(self, seed, seconds):
+    async def test_no_promise_is_broken(self, seed, seconds, tmp_path):
         result = await play(seed, seconds)
-        assert result.broken == {}
+        for name, text in result.logs.items():
+            (tmp_path / f"{name}.log").write_text(text)
+        seen = f"calls {result.calls}, faults {result.faults}, see {tmp_path}"
+        assert result.broken == {}, seen
         assert result.calls[200] > 100
         assert sum(result.faults.values()) >= 4
