Wait for the log line of a condemned version in its process test

In 18 plays of the same move the line came after the status in two, 8 and 76 ms later, and it came in all of them. Ruled out by these plays: a roll-back for want of evidence, which logs no such line. The test still asks for the line, within 1 s.

--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -285,8 +285,13 @@
             assert status == {"State": "rolled_back", "Target": "v2"}
             # The operators' limit on the exposure: a tenth, and 50.
             assert 0 < len(target.runs) <= 0.1 * len(answers) + 50
-            logs = [node.read_output() for node in deployment.nodes]
-            assert any("move.condemned" in log for log in logs)
+
+            def condemned():
+                logs = [node.read_output() for node in deployment.nodes]
+                return any("move.condemned" in log for log in logs)
+
+            # Lines are written each 0.2 s, so the status may be seen before.
+            await wait_for(condemned, 1.0)
             # A failed lookup is repeated at the old version.
             assert set(answers) == {200}
             await asyncio.sleep(0.5)
