--- a/packages/guavalane-entry/tests/gateway/test_bad_input.py
+++ b/packages/guavalane-entry/tests/gateway/test_bad_input.py
@@ -13,7 +13,12 @@
     make_configuration,
     make_route,
 )
-from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
+from guavalane_standins.gateway_rig import (
+    NAMES,
+    GatewayRig,
+    echo_headers,
+    open_raw,
+)
 
 LIMITS = CallerLimits(header_bytes=4096, body_bytes=1000)
 CONFIGURATION = attrs.evolve(make_configuration(make_route()), limits=LIMITS)
@@ -30,8 +35,7 @@
 
 async def send_raw(rig, data):
     """Sends bytes and returns all that comes back until the end."""
-    host, port = rig.address.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await open_raw(rig)
     writer.write(data)
     try:
         return await asyncio.wait_for(reader.read(), 1.0)
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -12,13 +12,23 @@
     make_configuration,
     make_route,
 )
-from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
+from guavalane_standins.gateway_rig import (
+    NAMES,
+    GatewayRig,
+    echo_headers,
+    open_raw,
+)
 
 ONCE = make_configuration(make_route(max_endpoints=2))
 IDEMPOTENT = make_configuration(
     make_route(delivery=Delivery.IDEMPOTENT, max_endpoints=2)
 )
 
+RAW_REQUEST = (
+    f"POST /a/x HTTP/1.1\r\nHost: app.example\r\n{NAMES.request_id}: q-1\r\n"
+    "Content-Length: 0\r\n\r\n"
+).encode()
+
 
 def answer_with(status=200, body=b"done", **extra):
     """Returns a script that answers every request in the same way."""
@@ -432,8 +442,7 @@
     async def test_idle_connections_close_at_a_stop(self):
         async with GatewayRig(ONCE) as rig:
             await rig.add_endpoint(answer_with())
-            host, port = rig.address.split(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await open_raw(rig)
             rig.listener.close_after_answers()
             stopping = asyncio.create_task(rig.listener.drain(2.0))
             assert await asyncio.wait_for(reader.read(), 0.5) == b""
@@ -462,15 +471,10 @@
         """The stop falls between the reading of a request and its handler."""
         async with GatewayRig(ONCE) as rig:
             await rig.add_endpoint(answer_with())
-            host, port = rig.address.split(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await open_raw(rig)
             await asyncio.sleep(0.05)
             (connection,) = rig.listener.connections
-            connection.data_received(
-                f"POST /a/x HTTP/1.1\r\nHost: app.example\r\n"
-                f"{NAMES.request_id}: q-1\r\n"
-                f"Content-Length: 0\r\n\r\n".encode()
-            )
+            connection.data_received(RAW_REQUEST)
             await asyncio.wait_for(rig.listener.drain(2.0), 1.0)
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
             writer.close()
@@ -486,16 +490,11 @@
 
         async with GatewayRig(ONCE) as rig:
             await rig.add_endpoint(slow)
-            host, port = rig.address.split(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await open_raw(rig)
             await asyncio.sleep(0.05)
             (connection,) = rig.listener.connections
             rig.listener.close_after_answers()
-            connection.data_received(
-                f"POST /a/x HTTP/1.1\r\nHost: app.example\r\n"
-                f"{NAMES.request_id}: q-1\r\n"
-                f"Content-Length: 0\r\n\r\n".encode()
-            )
+            connection.data_received(RAW_REQUEST)
             await asyncio.wait_for(rig.listener.drain(2.0), 1.5)
             assert (await reader.read()).endswith(b"done")
             writer.close()
@@ -506,16 +505,13 @@
         """Guards against a stop that cuts a request that is being sent."""
         async with GatewayRig(ONCE) as rig:
             await rig.add_endpoint(answer_with())
-            host, port = rig.address.split(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"POST /a/x HTTP/1.1\r\nHost: app.example\r\n")
+            reader, writer = await open_raw(rig)
+            writer.write(RAW_REQUEST[:40])
             await asyncio.sleep(0.1)
             rig.listener.close_after_answers()
             stopping = asyncio.create_task(rig.listener.drain(2.0))
             await asyncio.sleep(0.4)
-            writer.write(
-                f"{NAMES.request_id}: q-1\r\nContent-Length: 0\r\n\r\n".encode()
-            )
+            writer.write(RAW_REQUEST[40:])
             await asyncio.wait_for(stopping, 1.0)
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
             writer.close()
@@ -523,9 +519,8 @@
     async def test_a_caller_who_leaves_half_a_header_delays_no_stop(self):
         """Guards against waiting for a connection that is gone."""
         async with GatewayRig(ONCE) as rig:
-            host, port = rig.address.split(":")
-            _, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"POST /a/x HTTP/1.1\r\n")
+            _, writer = await open_raw(rig)
+            writer.write(RAW_REQUEST[:40])
             await asyncio.sleep(0.1)
             assert rig.listener.active == 1
             writer.close()
--- a/packages/guavalane-entry/tests/gateway/test_node_duty.py
+++ b/packages/guavalane-entry/tests/gateway/test_node_duty.py
@@ -13,27 +13,14 @@
 from guavalane_entry.gateway.duties import DutyContext, MoveOrders
 from guavalane_entry.gateway.node_duty import FORGET_S, NodeDuty
 from guavalane_entry.gateway.registration import NODE_KIND, Registration
-from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.sinks import PeerSink
 from guavalane_entry.gateway.usage_duty import settle_s
 from guavalane_entry.gateway.view import NodeView
+from guavalane_standins.gateway_rig import ADDRESS, make_settings
 
-ADDRESS = Address("127.0.0.1", 7600)
 PEERS = ("n2", "n3", "n4", "n5")
 
 
-def make_settings(name="n1"):
-    """Returns the settings of a node."""
-    return GatewaySettings(
-        name=name,
-        zone="zone-a",
-        callers=ADDRESS,
-        readiness=ADDRESS,
-        peers=ADDRESS,
-        metrics=ADDRESS,
-    )
-
-
 class FakeLease:
     """Lease that is always held."""
 
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -18,13 +18,13 @@
     PeerReports,
     report_period_s,
 )
-from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.view import NodeView
 from guavalane_standins.forwarding_samples import (
     make_configuration,
     make_prompt,
     make_route,
 )
+from guavalane_standins.gateway_rig import make_settings
 
 # Largest payload of a datagram that needs no fragments on usual links.
 UNFRAGMENTED_BYTES = 1400
@@ -33,16 +33,7 @@
 
 def make_node(timers, name, incarnation=1, duties=0):
     """Returns the state and the reports of a node."""
-    address = Address("127.0.0.1", 1)
-    settings = GatewaySettings(
-        name=name,
-        zone="zone-a",
-        callers=address,
-        readiness=address,
-        peers=address,
-        metrics=address,
-    )
-    view = NodeView(settings, timers, random.Random(1))
+    view = NodeView(make_settings(name), timers, random.Random(1))
     organisation = Organisation(
         "org", frozenset({"k"}), rate_per_s=10.0, burst=100.0
     )
@@ -51,6 +42,20 @@
     return view, PeerReports(view, timers, log, incarnation, lambda: duties)
 
 
+def record_sends(reports, timers):
+    """Returns a list that gets the time and port of each frame sent."""
+    sent = []
+
+    class Transport:
+        """Keeps what is sent."""
+
+        def sendto(self, frame, address):
+            sent.append((timers.now(), address[1]))
+
+    reports._transport = Transport()
+    return sent
+
+
 class TestPeerReports:
     """Guards against nodes that miss what the others do."""
 
@@ -250,15 +255,7 @@
 
     def test_reports_of_a_large_fleet_do_not_burst(self, timers):
         view, reports = make_node(timers, "n1")
-        sent = []
-
-        class Transport:
-            """Keeps what is sent, and when."""
-
-            def sendto(self, frame, address):
-                sent.append((timers.now(), address[1]))
-
-        reports._transport = Transport()
+        sent = record_sends(reports, timers)
         for number in range(79):
             view.peers[f"p{number}"] = f"127.0.0.1:{7600 + number}"
         reports.send()
@@ -277,15 +274,7 @@
         only.
         """
         view, reports = make_node(timers, "n1")
-        sent = []
-
-        class Transport:
-            """Keeps what is sent, and when."""
-
-            def sendto(self, frame, address):
-                sent.append((timers.now(), address[1]))
-
-        reports._transport = Transport()
+        sent = record_sends(reports, timers)
         reports.begin()
         timers.advance(0.12)
         assert not sent
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -10,17 +10,16 @@
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.sinks import EndpointSink
 from guavalane_entry.gateway.view import NodeView
 from guavalane_standins.forwarding_samples import make_endpoint
+from guavalane_standins.gateway_rig import make_settings
 
 # A request may reach an endpoint up to this long after the node could know
 # that it is gone, in seconds (`DrainMs` of the operators' bounds).
 DRAIN_S = 2.0
 # Time kept for the way of a request to its endpoint, in seconds.
 WAY_S = 0.1
-ADDRESS = Address("127.0.0.1", 1)
 
 
 def decode(stored):
@@ -40,15 +39,7 @@
 
     def __init__(self):
         self.timers = ManualTimers()
-        settings = GatewaySettings(
-            name="n1",
-            zone="zone-a",
-            callers=ADDRESS,
-            readiness=ADDRESS,
-            peers=ADDRESS,
-            metrics=ADDRESS,
-        )
-        self.view = NodeView(settings, self.timers, random.Random(1))
+        self.view = NodeView(make_settings(), self.timers, random.Random(1))
         log = DecisionLog("n1", self.timers.wall)
         self.sink = EndpointSink(self.view, decode, log)
 
--- a/packages/guavalane-entry/tests/gateway/test_usage_duty.py
+++ b/packages/guavalane-entry/tests/gateway/test_usage_duty.py
@@ -17,11 +17,10 @@
 from guavalane_entry.gateway.cloud import CloudError
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.duties import DutyContext, MoveOrders
-from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.usage_duty import UsageDuty
 from guavalane_entry.gateway.view import NodeView
+from guavalane_standins.gateway_rig import make_settings
 
-ADDRESS = Address("127.0.0.1", 7600)
 WINDOW_S = 5.0
 
 
@@ -61,15 +60,7 @@
     def add_node(self):
         """Adds a node."""
         name = f"n{len(self.views)}"
-        configured = GatewaySettings(
-            name=name,
-            zone="zone-a",
-            callers=ADDRESS,
-            readiness=ADDRESS,
-            peers=ADDRESS,
-            metrics=ADDRESS,
-            usage_window_s=WINDOW_S,
-        )
+        configured = make_settings(name, usage_window_s=WINDOW_S)
         self.views.append(NodeView(configured, self.timers, random.Random(1)))
 
     def make_duty(self, node):
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import Any
 
@@ -25,6 +26,8 @@
 
 NAMES = HeaderNames()
 HOST = "app.example"
+# Address of nodes that do not listen.
+ADDRESS = Address("127.0.0.1", 7600)
 
 
 def echo_headers(exchange: Exchange) -> dict[str, str]:
@@ -35,6 +38,29 @@
     }
 
 
+def make_settings(
+    name: str = "n1",
+    address: Address = ADDRESS,
+    **changes: Any,
+) -> GatewaySettings:
+    """Returns the settings of a node with one address for all it serves."""
+    return GatewaySettings(
+        name=name,
+        zone="zone-a",
+        callers=address,
+        readiness=address,
+        peers=address,
+        metrics=address,
+        **changes,
+    )
+
+
+def open_raw(rig: GatewayRig) -> Any:
+    """Opens a plain connection to a rig; await it for reader and writer."""
+    host, port = rig.address.split(":")
+    return asyncio.open_connection(host, int(port))
+
+
 class GatewayRig:
     """Listener, forwarder and scripted endpoints on the loopback address.
 
@@ -44,14 +70,7 @@
 
     def __init__(self, configuration: ForwardingConfiguration | None) -> None:
         listen = Address("127.0.0.1", free_port())
-        settings = GatewaySettings(
-            name="n1",
-            zone="zone-a",
-            callers=listen,
-            readiness=listen,
-            peers=listen,
-            metrics=listen,
-        )
+        settings = make_settings(address=listen)
         timers = LoopTimers()
         self.view = NodeView(settings, timers, random.Random(1))
         if configuration is not None:
