Log versions of endpoints, and organisation, units and events of requests

The logs told neither: a request's end had no organisation and no units, and an endpoint's line had no version.

Add these fields, and the number of stream events, so that the pace of a stream can be computed.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -322,10 +322,12 @@
         metrics = self._components.metrics
         metrics.count("requests", event.partition(".")[2])
         metrics.record("request", route.name, elapsed_s)
+        organisation = admitted.organisation
         timing: dict[str, float] = {}
         if progress.first_event_s is not None:
             timing["first_event_s"] = round(progress.first_event_s, 3)
             timing["longest_gap_s"] = round(progress.longest_gap_s, 3)
+            timing["events"] = progress.events
             metrics.record("longest_gap", route.name, progress.longest_gap_s)
         self._components.log.request(
             event,
@@ -334,6 +336,8 @@
             delivery=route.delivery.value,
             objective_s=route.latency_objective_s,
             configuration=admitted.version,
+            organisation=None if organisation is None else organisation.name,
+            units=admitted.units,
             endpoints=sorted(progress.tried),
             arrivals=progress.arrivals,
             status=progress.last_status,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -18,6 +18,7 @@
       counted_s: Estimated true time at which its usage was counted; None if
           it was not counted.
       first_event_s: Time from arrival to the first stream event, in seconds.
+      events: Number of stream events that were forwarded.
       longest_gap_s: Longest gap between two reads of its stream, in seconds.
       last_status: Status of the last endpoint response; None without one.
       last_failure: Status, headers and body of an endpoint's error response,
@@ -31,6 +32,7 @@
     last_event_id: str | None = None
     counted_s: float | None = None
     first_event_s: float | None = None
+    events: int = 0
     longest_gap_s: float = 0.0
     last_status: int | None = None
     last_failure: tuple[int, list[tuple[str, str]], bytes] | None = None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -159,6 +159,7 @@
             self._record_event_times(now_s, now_s - read_s)
             read_s = now_s
             await self._start_stream(response)
+            self._progress.events += len(events)
             for event in events:
                 if event.event_id is not None:
                     self._progress.last_event_id = event.event_id
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -181,6 +181,7 @@
                 service=endpoint.service,
                 zone=endpoint.zone,
                 address=endpoint.address,
+                version=endpoint.version,
                 leaving=endpoint.leaving,
             )
 
--- a/packages/guavalane-standins/src/guavalane_standins/log_schema.py
+++ b/packages/guavalane-standins/src/guavalane_standins/log_schema.py
@@ -23,7 +23,7 @@
     "null": (type(None),),
 }
 # Fields of completed requests that are present for streams only.
-OPTIONAL_FIELDS = frozenset({"first_event_s", "longest_gap_s"})
+OPTIONAL_FIELDS = frozenset({"first_event_s", "longest_gap_s", "events"})
 
 
 @attrs.frozen
