Pay back all draws of an allotment that nodes report

Cause: a report lowered the level of a bucket to -burst at most. With a report every 1.16 s, 74 nodes draw more than that between two reports, and all draws beyond the floor were forgotten.

Change: the level falls without a floor. As a debt can now be long, a lowered limit scales it, so that it takes no longer to pay back than before.

--- a/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -31,12 +31,21 @@
         return self._own_level
 
     def set_limits(self, rate_per_s: float, burst: float, now_s: float) -> None:
-        """Changes the limits without refunding past draws."""
+        """Changes the limits without refunding past draws.
+
+        A debt from before the change takes no longer to pay back than under the
+        previous rate.
+        """
         self._refill(now_s)
+        debt_factor = min(1.0, rate_per_s / self._rate_per_s)
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._total_level = min(self._total_level, burst)
-        self._own_level = min(self._own_level, self._capacity)
+        self._total_level = min(
+            max(self._total_level, self._total_level * debt_factor), burst
+        )
+        self._own_level = min(
+            max(self._own_level, self._own_level * debt_factor), self._capacity
+        )
 
     def set_share(self, share: float, now_s: float) -> None:
         """Sets the share of the bucket that this node can rely on.
@@ -88,11 +97,14 @@
         return self._total_level
 
     def deduct_reported(self, units: float, now_s: float) -> None:
-        """Deducts units that another node has drawn."""
+        """Deducts units that another node has drawn.
+
+        The level can fall below zero by any amount: nodes that draw at the same
+        time learn of each other's draws only afterwards, and the organisation
+        has to pay them all back.
+        """
         self._refill(now_s)
         self._add(-units)
-        self._total_level = max(self._total_level, -self._burst)
-        self._own_level = max(self._own_level, -self._burst)
 
     def refund(self, units: float, now_s: float) -> None:
         """Refunds the units of a request that has not run."""
