Report draws from nearly exhausted allotments early in large fleets

Callers saw: an organisation that suddenly sent several times its limit ran more than its limit on a fleet of 74 nodes.

Cause: nodes decide on a belief that is old. A node of 74 tells its draws every 1.16 s, spread over 0.45 s more; until then the others draw from a level that no longer exists. Paying back and rationing help only afterwards.

Change: while an allotment is below three quarters of its bucket, a node tells changes of its draws every 0.25 s (a node receives at most 300 such reports a second, so 0.25 s up to 75 nodes and 1.8 s at 550). They are small, and none are sent while the buckets are mostly full. The exchange of draws moves into a module of its own. A partial report is never the baseline of a restarted node.

--- a/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -34,6 +34,11 @@
         """Units that this node can draw, as of the last call."""
         return self._own_level
 
+    @property
+    def burst(self) -> float:
+        """Capacity of the whole bucket in units."""
+        return self._burst
+
     def set_limits(self, rate_per_s: float, burst: float, now_s: float) -> None:
         """Changes the limits without refunding past draws.
 
--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -8,6 +8,10 @@
 from guavalane_core.forwarding.configuration import Organisation
 from guavalane_core.forwarding.request import Prompt
 
+# Level, as a fraction of the bucket, below which an allotment is nearly
+# exhausted.
+NEARLY_EXHAUSTED = 0.75
+
 
 def request_units(organisation: Organisation, prompt: Prompt | None) -> int:
     """Returns the units that a request draws from the allotment."""
@@ -103,6 +107,18 @@
             for name, allotment in self._allotments.items()
         }
 
+    def nearly_exhausted(self, now_s: float) -> list[str]:
+        """Returns the organisations whose draws other nodes need to know soon.
+
+        An allotment that is mostly full leaves room for draws that are not
+        reported yet.
+        """
+        return [
+            name
+            for name, allotment in self._allotments.items()
+            if allotment.level_at(now_s) < NEARLY_EXHAUSTED * allotment.burst
+        ]
+
     def has_report(self, node: str, incarnation: int) -> bool:
         """Returns whether a process has reported its totals."""
         known = self._reported.get(node)
@@ -140,7 +156,8 @@
         """Deducts the units that a node has drawn since its last report.
 
         Reports are ignored until the limits are known. Nothing is lost, because
-        each report contains the totals.
+        each report contains totals. Organisations that it does not name are
+        unchanged.
         """
         if not self._configured:
             return
@@ -156,4 +173,4 @@
                 allotment.deduct_reported(units, now_s)
             else:
                 allotment.refund(-units, now_s, own=False)
-        self._reported[node] = (incarnation, dict(totals))
+        self._reported[node] = (incarnation, {**known[1], **totals})
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "Ack",
+    "AllotmentReport",
     "AllotmentUse",
     "CompressedMemberList",
     "ConfigDelta",
@@ -939,6 +940,35 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class AllotmentReport:
+    """Usage of nearly exhausted allotments, sent between node reports.
+
+    Attributes:
+      node: Name of the sender.
+      incarnation: Incarnation of the sender.
+      sequence: Sequence of the latest node report of the sender.
+      update: Number that increases with each allotment report after that node
+          report.
+      allotments: Allotment usage by organisation.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    update: int
+    allotments: tuple[AllotmentUse, ...]
+
+    TYPE_ID: ClassVar[int] = 54
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "node": options.Text(),
+        "incarnation": options.Integer(minimum=0),
+        "sequence": options.Integer(minimum=0),
+        "update": options.Integer(minimum=1),
+        "allotments": options.ListOf(options.Section(AllotmentUse)),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """State that a node reports to the other nodes several times per second.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -13,7 +13,7 @@
 from guavalane_core.exceptions import MessageError
 from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
-    AllotmentUse,
+    AllotmentReport,
     MoveOutcomes,
     NodeReport,
     PrefixUse,
@@ -26,6 +26,7 @@
 from guavalane_core.moves.trial import VersionCount
 from guavalane_core.timers import Timers
 from guavalane_core.usage.counts import WindowCount
+from guavalane_entry.gateway.allotment_reports import AllotmentReports
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.view import NodeView
@@ -45,6 +46,11 @@
 # then drops the last datagrams.
 BATCH_SIZE = 8
 BATCH_PERIOD_S = 0.05
+# Allotment reports that a node receives per second at most. They are small and
+# sent only while an allotment is nearly exhausted.
+MAX_ALLOTMENT_REPORTS_PER_S = 300
+# Number of allotment reports per batch.
+ALLOTMENT_BATCH_SIZE = 64
 # Delay of the first report after the start, and interval between its batches,
 # in seconds. Until it hears from peers, a node may draw only its own share of
 # each allotment.
@@ -62,9 +68,6 @@
 # draw its share of each allotment unseen. Draws of the other nodes count double
 # meanwhile.
 SHARE_TIMEOUT_S = 1.0
-# Processes whose start times differ by at most this, in milliseconds, count as
-# started together: what one of them has drawn since counts for the others.
-SIMULTANEOUS_START_MS = 1000
 
 
 def report_period_s(nodes: int) -> float:
@@ -72,6 +75,11 @@
     return REPORT_PERIOD_S * max(1.0, nodes / MAX_NODES_AT_BASE_PERIOD)
 
 
+def allotment_period_s(nodes: int) -> float:
+    """Returns the interval of allotment reports, in seconds."""
+    return max(REPORT_PERIOD_S, nodes / MAX_ALLOTMENT_REPORTS_PER_S)
+
+
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(self, reports: PeerReports) -> None:
         self._reports = reports
@@ -122,6 +130,9 @@
         self._addresses: dict[str, str] = {}
         self._configurations: dict[str, int] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._allotments = AllotmentReports(
+            view, timers, incarnation, self._send_allotments
+        )
 
     async def start(self) -> None:
         """Starts receiving and sending reports."""
@@ -145,6 +156,7 @@
             return
         if self._view.peers or self._timers.now() >= latest_s:
             self._schedule()
+            self._schedule_allotments()
             self.send(FIRST_BATCH_PERIOD_S)
         else:
             self._timers.call_later(
@@ -164,6 +176,26 @@
         self._evaluate_moves()
         self.send()
 
+    def _schedule_allotments(self) -> None:
+        spread = 1 + JITTER * (2 * self._view.rng.random() - 1)
+        period_s = allotment_period_s(self._view.node_count)
+        self._timers.call_later(period_s * spread, self._on_allotment_timer)
+
+    def _on_allotment_timer(self) -> None:
+        if self._transport is None:
+            return
+        self._schedule_allotments()
+        nodes = self._view.node_count
+        if allotment_period_s(nodes) < report_period_s(nodes):
+            self._allotments.send(self._sequence)
+
+    def _send_allotments(self, frame: bytes) -> None:
+        peers = list(self._view.peers)
+        self._view.rng.shuffle(peers)
+        self._send_batches(
+            frame, peers, FIRST_BATCH_PERIOD_S, ALLOTMENT_BATCH_SIZE
+        )
+
     def stop(self) -> None:
         """Sends a final report to all peers and closes the socket."""
         if self._transport is not None:
@@ -229,14 +261,19 @@
         self._update_allotment_share()
 
     def _send_batches(
-        self, frame: bytes, peers: list[str], period_s: float
+        self,
+        frame: bytes,
+        peers: list[str],
+        period_s: float,
+        size: int = BATCH_SIZE,
     ) -> None:
-        for peer in peers[:BATCH_SIZE]:
+        for peer in peers[:size]:
             self.send_to(peer, frame)
-        rest = peers[BATCH_SIZE:]
+        rest = peers[size:]
         if rest:
             self._timers.call_later(
-                period_s, lambda: self._send_batches(frame, rest, period_s)
+                period_s,
+                lambda: self._send_batches(frame, rest, period_s, size),
             )
 
     def send_to(self, node: str, frame: bytes) -> None:
@@ -259,7 +296,7 @@
             configuration=table.configuration.version if table else 0,
             duties=self._duties(),
             work=loads_to_messages(view.work.own_loads()),
-            allotments=tuple(self._allotment_uses()),
+            allotments=self._allotments.uses(),
             usage=tuple(
                 WindowUsage(
                     window=count.window,
@@ -283,16 +320,6 @@
             moves=tuple(self._move_outcomes()),
         )
 
-    def _allotment_uses(self) -> Iterator[AllotmentUse]:
-        allotments = self._view.allotments
-        levels = allotments.levels(self._timers.now())
-        for name, units in allotments.drawn.items():
-            yield AllotmentUse(
-                organisation=name,
-                units=max(0, units),
-                level=int(levels.get(name, 0)),
-            )
-
     def _recent_usage(self) -> Iterable[WindowCount]:
         large = len(self._view.peers) > MAX_NODES_AT_BASE_PERIOD
         if large and self._sequence % USAGE_REPORT_INTERVAL:
@@ -330,6 +357,9 @@
         if isinstance(report, WorkReport):
             self._on_work(report)
             return
+        if isinstance(report, AllotmentReport):
+            self._allotments.receive(report)
+            return
         if not isinstance(report, NodeReport):
             self._log.event("peer.invalid", reason="not a report")
             return
@@ -355,7 +385,7 @@
         view.clock.observe(node, report.wall_ms / 1000)
         loads = loads_from_messages(report.work)
         view.work.report(node, loads, now_s + self._peer_timeout_s())
-        self._apply_allotments(report, now_s)
+        self._allotments.receive_node_report(report)
         view.usage.report(
             node,
             report.incarnation,
@@ -374,17 +404,6 @@
             view.prefixes.record_part(use.endpoint, use.part, now_s)
         self._apply_moves(report)
 
-    def _apply_allotments(self, report: NodeReport, now_s: float) -> None:
-        allotments = self._view.allotments
-        node, incarnation = report.node, report.incarnation
-        totals = {use.organisation: use.units for use in report.allotments}
-        is_older = self._incarnation - incarnation > SIMULTANEOUS_START_MS
-        if is_older and not allotments.has_report(node, incarnation):
-            levels = {use.organisation: use.level for use in report.allotments}
-            allotments.set_baseline(node, incarnation, totals, levels, now_s)
-        else:
-            allotments.report(node, incarnation, totals, now_s)
-
     def _apply_moves(self, report: NodeReport) -> None:
         counts: dict[tuple[str, str], list[VersionCount]] = {}
         for outcomes in report.moves:
@@ -417,11 +436,6 @@
             )
 
     def _update_allotment_share(self) -> None:
-        node_count = self._view.node_count
-        live_count = len(
-            set(self._peers_heard_within(self._share_timeout_s()))
-            & set(self._view.peers)
-        )
-        self._view.allotments.set_share(
-            (live_count + 1) / node_count, self._timers.now()
+        self._allotments.set_share(
+            self._peers_heard_within(self._share_timeout_s())
         )
