Order no fewer endpoints while a service moves to another version

Callers saw: during the move of hasty all requests went to the new version, which was four times as slow, from second 9.1 on, 5.8 s before the move was completed.

Cause: the number in an order of endpoints counts both versions, but the planner left out those on trial, and from the order's storing until the move was running it counted them as capacity. The platform drained the oldest endpoints, all those of the old version, and a service without endpoints of the old version uses the new one.

Change: while a move is ordered or running, and after a rollback until the new endpoints leave, the planner only adds endpoints, and an order includes those of the unproved version.

--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -134,19 +134,28 @@
         state.count = None
 
     def plan(
-        self, endpoints: Sequence[Endpoint], need: ReplicaNeed, now_s: float
+        self,
+        endpoints: Sequence[Endpoint],
+        need: ReplicaNeed,
+        now_s: float,
+        unproved: Sequence[Endpoint] | None = None,
     ) -> list[ReplicaOrder]:
         """Returns the orders that are due.
 
         Args:
-          endpoints: Endpoints of the service, including leaving ones.
+          endpoints: Endpoints of the service that carry load, including leaving
+            ones.
           need: Load to carry.
           now_s: Monotonic time in seconds.
+          unproved: Endpoints of another version during a version move; None
+            without a move. Nothing is removed meanwhile.
         """
         self._note_reclaims(endpoints, now_s)
         present = self._count(endpoints)
         needed = max(need.endpoints(), self._expected_endpoints(need))
         targets = self._targets(present, needed, now_s)
+        if unproved is not None:
+            return self._growth_orders(targets, present, unproved, now_s)
         orders = []
         for (zone, reclaimable), count in targets.items():
             state = self._state_of(zone, reclaimable)
@@ -157,6 +166,34 @@
         orders.sort(key=lambda order: order.count == 0)
         return orders
 
+    def _growth_orders(
+        self,
+        targets: Mapping[tuple[str, bool], int],
+        present: Mapping[tuple[str, bool], int],
+        unproved: Sequence[Endpoint],
+        now_s: float,
+    ) -> list[ReplicaOrder]:
+        """Returns orders that add endpoints during a version move.
+
+        An order states the number of endpoints of both versions, and the
+        platform removes the oldest ones first. An order without the unproved
+        endpoints would remove those that carry the load.
+        """
+        added = self._count(unproved)
+        orders = []
+        for (zone, reclaimable), target in targets.items():
+            key, other_key = (zone, reclaimable), (zone, not reclaimable)
+            present_count = present.get(key, 0) + added.get(key, 0)
+            others = present.get(other_key, 0) + added.get(other_key, 0)
+            count = min(
+                target + added.get(key, 0), self._replicas.maximum - others
+            )
+            state = self._state_of(zone, reclaimable)
+            is_growth = count > present_count
+            if is_growth and self._is_due(state, count, present_count, now_s):
+                orders.append(ReplicaOrder(zone, count, reclaimable))
+        return orders
+
     def _expected_endpoints(self, need: ReplicaNeed) -> int:
         """Returns the minimum number of endpoints until the load is known.
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -7,7 +7,7 @@
     ReplicaOrder,
     ReplicaPlanner,
 )
-from guavalane_core.forwarding import Endpoint, Replicas, Service
+from guavalane_core.forwarding import Endpoint, MovePhase, Replicas, Service
 from guavalane_core.leases import LeaseHolder
 from guavalane_entry.gateway.cloud import NoneAvailableError
 from guavalane_entry.gateway.duties import DUTIES, DutyContext
@@ -39,23 +39,32 @@
     async def _step_service(self, lease: LeaseHolder, service: Service) -> None:
         view = self._view
         now_s = view.timers.now()
-        endpoints = self._endpoints(service)
+        proved, unproved = self._endpoints(service)
         need = self._need(service, now_s)
-        planner = self._planner(service, [e.zone for e in endpoints])
-        for order in planner.plan(endpoints, need, now_s):
+        planner = self._planner(service, [e.zone for e in proved])
+        for order in planner.plan(proved, need, now_s, unproved):
             await self._order(lease, service, planner, order, need)
 
-    def _endpoints(self, service: Service) -> list[Endpoint]:
-        """Returns the endpoints that count as capacity.
+    def _endpoints(
+        self, service: Service
+    ) -> tuple[list[Endpoint], list[Endpoint] | None]:
+        """Returns the endpoints that count as capacity, and unproved ones.
 
-        Endpoints of a version on trial do not count yet. When a move completes,
-        the endpoints of the old version are removed at once.
+        During a version move, the endpoints of the new version do not count as
+        capacity, until it is completed. After a rollback they remain for some
+        seconds. Without a move, the second result is None.
         """
         view = self._view
         endpoints = view.directory.all_endpoints(service.name)
-        if view.moves.running(service.name) is None:
-            return endpoints
-        return [e for e in endpoints if not view.moves.is_new(e)]
+        move = view.moves.moves.get(service.name)
+        if move is None or move.move.phase is MovePhase.COMPLETED:
+            return endpoints, None
+        proved = [e for e in endpoints if not view.moves.is_new(e)]
+        unproved = [e for e in endpoints if view.moves.is_new(e)]
+        is_over = move.move.phase is MovePhase.ROLLED_BACK and all(
+            endpoint.leaving for endpoint in unproved
+        )
+        return proved, None if is_over else unproved
 
     def _need(self, service: Service, now_s: float) -> ReplicaNeed:
         view = self._view
