Compare versions by all attempts, also by those that still wait

Callers saw: a new version of the model servers that was four times as slow was completed and kept, and most of its streams were given up by their callers.

Cause: the sample left out what was slow. Only completed attempts were compared; a node called one slow only after 50 attempts of the old version at this node, of which it has 13 in the time of a move; the pace of a stream was not compared at all; and the absence of a finding was enough to complete.

Change: nodes tell histograms instead of counts, so that the limit of a slow attempt comes from the attempts of all nodes and from those before the move. Latency and pace of an attempt count as soon as they are known, and an attempt that has waited longer than the limit counts as slow at once, also if its caller gives up. The comparison is that of the judge of planned moves, which had these rules already. A version is completed only on evidence that it is as good.

The text of a finding is that of the judge, so one test looks for it.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -778,28 +778,36 @@
       target: Version that the service moves to.
       route: Name of the route.
       is_new: Whether the counts are those of the target version.
-      attempts: Number of finished attempts.
-      failed: Number of failed attempts.
-      slow: Number of attempts slower than the 75th percentile of the old
-          version.
+      requests: Number of finished attempts.
+      errors: Number of failed attempts.
+      rejected: Number of attempts with a 4xx response.
+      latency_buckets: Histogram of the time to first token or response, also of
+          attempts that still wait: index of the first non-empty bucket, then
+          the counts up to the last non-empty one.
+      gap_buckets: Histogram of the mean time between stream events, in the same
+          format.
     """
 
     service: str
     target: str
     route: str
     is_new: bool
-    attempts: int
-    failed: int
-    slow: int
+    requests: int
+    errors: int
+    rejected: int
+    latency_buckets: tuple[int, ...]
+    gap_buckets: tuple[int, ...]
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "service": options.Text(),
         "target": options.Text(),
         "route": options.Text(),
         "is_new": options.Boolean(),
-        "attempts": options.Integer(minimum=0),
-        "failed": options.Integer(minimum=0),
-        "slow": options.Integer(minimum=0),
+        "requests": options.Integer(minimum=0),
+        "errors": options.Integer(minimum=0),
+        "rejected": options.Integer(minimum=0),
+        "latency_buckets": options.ListOf(options.Integer(minimum=0)),
+        "gap_buckets": options.ListOf(options.Integer(minimum=0)),
     }
 
 
--- a/packages/guavalane-core/src/guavalane_core/moves/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/evidence.py
@@ -71,8 +71,22 @@
             for index, count in enumerate(theirs):
                 mine[index] += count
 
+    def since(self, earlier: AttemptCounts) -> AttemptCounts:
+        """Returns what was added to totals since earlier ones."""
+        return AttemptCounts(
+            self.requests - earlier.requests,
+            self.errors - earlier.errors,
+            self.rejected - earlier.rejected,
+            _difference(self.latency, earlier.latency),
+            _difference(self.gaps, earlier.gaps),
+        )
+
+
+def _difference(buckets: list[int], earlier: list[int]) -> list[int]:
+    return [a - b for a, b in zip(buckets, earlier, strict=True)]
+
 
-def _pack_buckets(buckets: list[int]) -> tuple[int, ...]:
+def pack_buckets(buckets: list[int]) -> tuple[int, ...]:
     """Encodes a histogram without its leading and trailing empty buckets.
 
     The first element is the index of the first used bucket.
@@ -83,7 +97,8 @@
     return (used[0], *buckets[used[0] : used[-1] + 1])
 
 
-def _unpack_buckets(packed: tuple[int, ...]) -> list[int]:
+def unpack_buckets(packed: tuple[int, ...]) -> list[int]:
+    """Decodes a histogram; buckets beyond the last one are ignored."""
     buckets = _empty_buckets()
     for index, count in enumerate(packed[1:], start=packed[0] if packed else 0):
         if index < BUCKET_COUNT:
@@ -103,8 +118,8 @@
         requests=counts.requests,
         errors=counts.errors,
         rejected=counts.rejected,
-        latency_buckets=_pack_buckets(counts.latency),
-        gap_buckets=_pack_buckets(counts.gaps),
+        latency_buckets=pack_buckets(counts.latency),
+        gap_buckets=pack_buckets(counts.gaps),
     )
 
 
@@ -114,8 +129,8 @@
         evidence.requests,
         evidence.errors,
         evidence.rejected,
-        _unpack_buckets(evidence.latency_buckets),
-        _unpack_buckets(evidence.gap_buckets),
+        unpack_buckets(evidence.latency_buckets),
+        unpack_buckets(evidence.gap_buckets),
     )
 
 
--- a/packages/guavalane-core/src/guavalane_core/moves/judge.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/judge.py
@@ -26,6 +26,9 @@
 # Likelihood ratio at which a stage is held although no test rejects the
 # version.
 HOLD_EVIDENCE = 10.0
+# Likelihood ratio of a bad version against a good one, on one route, at which
+# the version is not accepted.
+DOUBT_EVIDENCE = 20.0
 # Tolerated rate of slow attempts in addition to that of the tolerated odds.
 SLOW_TOLERANCE = 0.05
 
@@ -103,15 +106,27 @@
     ) -> None:
         self._old = old
         self._new = new
-        self._tests = {
-            (rule, route): _RouteTest(RULES.get(rule)())
-            for rule in RULES
-            for route in sorted(routes)
-        }
-        tests = max(1, len(self._tests) * parties)
-        self._log_limit = math.log(tests / FALSE_ROLLBACK_TARGET)
+        self._parties = parties
+        self._tests: dict[tuple[str, str], _RouteTest] = {}
+        for route in sorted(routes):
+            self.add_route(route)
         self._stage_requests = 0
 
+    def add_route(self, route: str) -> None:
+        """Adds a route if it is new."""
+        for rule in RULES:
+            if (rule, route) not in self._tests:
+                self._tests[rule, route] = _RouteTest(RULES.get(rule)())
+
+    def limit_s(self, rule: str, route: str) -> float | None:
+        """Returns the time above which a rule calls an attempt slow.
+
+        Returns:
+          Time in seconds; None if it is not known yet.
+        """
+        test = self._tests.get((rule, route))
+        return None if test is None else test.rule.limit_s
+
     @property
     def stage_requests(self) -> int:
         """Attempts of the new version in the current stage."""
@@ -166,7 +181,9 @@
             key=lambda item: item[1].test.log_evidence,
             default=(("", ""), None),
         )
-        if test is None or test.test.log_evidence < self._log_limit:
+        tests = max(1, len(self._tests) * self._parties)
+        log_limit = math.log(tests / FALSE_ROLLBACK_TARGET)
+        if test is None or test.test.log_evidence < log_limit:
             return None
         total = test.total
         return Finding(
@@ -188,7 +205,11 @@
         return ""
 
     def unmet_requirement(
-        self, requests: int, tolerance: float, last: bool = False
+        self,
+        requests: int,
+        tolerance: float,
+        last: bool = False,
+        false_pass_target: float = FALSE_PASS_TARGET,
     ) -> str:
         """Describes an unmet requirement of the stage; empty if it passes.
 
@@ -197,18 +218,23 @@
           tolerance: Tolerated increase of the error rate.
           last: Whether this is the last stage, which also requires attempts on
               every route that the old version served.
+          false_pass_target: Probability that a version outside the tolerance
+              passes one rule.
         """
         if self._stage_requests < requests:
             return f"{requests - self._stage_requests} more requests"
         suspected = max(
-            (test.test.log_evidence, rule, route)
-            for (rule, route), test in self._tests.items()
+            (
+                (test.test.log_evidence, rule, route)
+                for (rule, route), test in self._tests.items()
+            ),
+            default=(-math.inf, "", ""),
         )
         if suspected[0] > math.log(HOLD_EVIDENCE):
             return f"a clear result of rule {suspected[1]} on {suspected[2]}"
         if last and self.untested_route():
             return f"requests on route {self.untested_route()}"
-        needed = math.log(1 / FALSE_PASS_TARGET)
+        needed = math.log(1 / false_pass_target)
         for rule in RULES:
             total = ContingencyTable()
             for (name, _), test in self._tests.items():
@@ -218,14 +244,35 @@
             if slow and not total.new_total and not total.old_total:
                 # Services that do not stream have no token gaps.
                 continue
-            evidence = pass_evidence(
-                total.new_total,
-                total.new_events,
-                total.old_total,
-                total.old_events,
-                SLOW_TOLERANCE if slow else tolerance,
-                RULES.get(rule).tolerated_odds,
-            )
-            if evidence < needed:
+            if _pass_evidence(rule, total, tolerance) < needed:
                 return f"evidence of rule {rule}"
         return ""
+
+    def doubtful_route(self, tolerance: float) -> str:
+        """Describes a route on which the new version is probably bad, if any.
+
+        A fault on one route is diluted in the evidence of all routes.
+
+        Args:
+          tolerance: Tolerated increase of the error rate.
+        """
+        for (rule, route), test in self._tests.items():
+            evidence = _pass_evidence(rule, test.stage, tolerance)
+            if evidence < -math.log(DOUBT_EVIDENCE):
+                return f"a better result of rule {rule} on {route}"
+        return ""
+
+
+def _pass_evidence(
+    rule: str, table: ContingencyTable, tolerance: float
+) -> float:
+    """Returns the evidence that a version is within the tolerance of a rule."""
+    is_slow_rule = not RULES.get(rule).counts_warm_up
+    return pass_evidence(
+        table.new_total,
+        table.new_events,
+        table.old_total,
+        table.old_events,
+        SLOW_TOLERANCE if is_slow_rule else tolerance,
+        RULES.get(rule).tolerated_odds,
+    )
--- a/packages/guavalane-core/src/guavalane_core/moves/trial.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/trial.py
@@ -7,154 +7,95 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-from guavalane_core.moves.evidence import BUCKET_COUNT, latency_bucket
-from guavalane_core.moves.judge import (
-    FALSE_ROLLBACK_TARGET,
-    HOLD_EVIDENCE,
-    MIN_COMPARED_ATTEMPTS,
-)
-from guavalane_core.moves.rules import (
-    MIN_QUANTILE_SAMPLES,
-    SLOW_QUANTILE,
-    SLOW_TOLERATED_ODDS,
-)
-from guavalane_core.moves.sequential import TOLERATED_ODDS, SequentialTest
-
-# Samples of the old version per route above which all bucket counts are halved,
-# so that the latency threshold adapts to the load.
-MAX_LATENCY_SAMPLES = 400
+from guavalane_core.moves.evidence import AttemptCounts, WindowCounts
+from guavalane_core.moves.judge import Judge
+from guavalane_core.moves.samples import AttemptSample
+
 # Attempts of the new version required to accept it.
 MIN_ATTEMPTS = 20
-RULES = ("failed", "slow")
+# Tolerated rate of failed attempts in addition to that of the tolerated odds.
+ERROR_TOLERANCE = 0.2
+# Probability that a version at the limit of the tolerance passes one rule. A
+# small service has few attempts in the time of a move, and a version of which
+# half of the responses are slow is far beyond the limit.
+FALSE_PASS_TARGET = 0.3
+# Interval between evaluations, in seconds. In a shorter one, too few attempts
+# of the old version estimate the limit of a slow attempt.
+EVALUATION_PERIOD_S = 1.0
+OLD = "the old version"
+NEW = "the new version"
 
 
 @attrs.frozen
 class VersionCount:
-    """Outcome counts on one route since the start of a process.
+    """Counts of one version on one route since the start of a process.
 
     Attributes:
       route: Name of the route.
       is_new: Whether the counts are of the new version.
-      attempts: Completed attempts, whether successful or not.
-      failed: Failed attempts.
-      slow: Attempts slower than the 75th percentile of the old version.
+      counts: Outcomes, latencies and gaps.
     """
 
     route: str
     is_new: bool
-    attempts: int = 0
-    failed: int = 0
-    slow: int = 0
-
-    def __add__(self, other: VersionCount) -> VersionCount:
-        return attrs.evolve(
-            self,
-            attempts=self.attempts + other.attempts,
-            failed=self.failed + other.failed,
-            slow=self.slow + other.slow,
-        )
-
-    def __sub__(self, other: VersionCount) -> VersionCount:
-        return attrs.evolve(
-            self,
-            attempts=self.attempts - other.attempts,
-            failed=self.failed - other.failed,
-            slow=self.slow - other.slow,
-        )
-
-
-class _LatencyThreshold:
-    """Latency above which an attempt on one route is slow."""
-
-    def __init__(self) -> None:
-        self._times = [0.0] * BUCKET_COUNT
-
-    def add(self, elapsed_s: float) -> None:
-        """Adds the latency of an attempt of the old version."""
-        self._times[latency_bucket(elapsed_s)] += 1
-        if sum(self._times) > MAX_LATENCY_SAMPLES:
-            self._times = [count / 2 for count in self._times]
-
-    def is_slow(self, elapsed_s: float) -> bool:
-        """Returns whether a latency is above the old version's quantile."""
-        total = sum(self._times)
-        if total < MIN_QUANTILE_SAMPLES:
-            return False
-        below = sum(self._times[: latency_bucket(elapsed_s)])
-        return below >= SLOW_QUANTILE * total
+    counts: AttemptCounts
 
 
-class _RouteTests:
-    """Sequential tests of one route."""
+class VersionTrial:
+    """Evaluates the new version of a service during a move.
 
-    def __init__(self, route: str) -> None:
-        self.tests = {
-            "failed": SequentialTest(TOLERATED_ODDS),
-            "slow": SequentialTest(SLOW_TOLERATED_ODDS),
-        }
-        self.evaluated = {
-            is_new: VersionCount(route, is_new) for is_new in (False, True)
-        }
+    Args:
+      baseline: Latencies and gaps of the old version before the move, by route.
+        They only serve to estimate when an attempt is slow.
+    """
 
-    def update(self, totals: dict[bool, VersionCount]) -> None:
-        """Evaluates new attempts once there are enough of them."""
-        new = totals[True] - self.evaluated[True]
-        old = totals[False] - self.evaluated[False]
-        if old.attempts < MIN_COMPARED_ATTEMPTS or new.attempts <= 0:
-            return
-        self.evaluated = totals
-        for rule, test in self.tests.items():
-            test.update(
-                new.attempts,
-                getattr(new, rule),
-                old.attempts,
-                getattr(old, rule),
+    def __init__(
+        self, baseline: Mapping[str, AttemptCounts] | None = None
+    ) -> None:
+        self._own: dict[tuple[str, bool], AttemptCounts] = {}
+        for route, counts in (baseline or {}).items():
+            self._own[route, False] = AttemptCounts(
+                latency=list(counts.latency), gaps=list(counts.gaps)
             )
-
-
-class VersionTrial:
-    """Evaluates the new version of a service during a move."""
-
-    def __init__(self) -> None:
-        self._own: dict[tuple[str, bool], VersionCount] = {}
+        self._open: dict[AttemptSample, str] = {}
         self._reported: dict[tuple[str, int], tuple[VersionCount, ...]] = {}
-        self._limits: dict[str, _LatencyThreshold] = {}
-        self._routes: dict[str, _RouteTests] = {}
+        self._judge = Judge(OLD, NEW, ())
+        self._evaluated: WindowCounts = {}
+        self._evaluated_s = -math.inf
 
     @property
     def counts(self) -> tuple[VersionCount, ...]:
         """Totals of this process, for other nodes."""
-        return tuple(self._own.values())
-
-    def record(
-        self,
-        route: str,
-        *,
-        is_new: bool,
-        failed: bool,
-        elapsed_s: float,
-    ) -> None:
-        """Counts an attempt of this node.
+        return tuple(
+            VersionCount(route, is_new, counts)
+            for (route, is_new), counts in self._own.items()
+        )
+
+    def begin(self, route: str, *, is_new: bool, now_s: float) -> AttemptSample:
+        """Starts the measurement of an attempt of this node.
 
         Args:
           route: Name of the route.
           is_new: Whether the endpoint is of the new version.
-          failed: Whether the attempt failed.
-          elapsed_s: Time to the response or its first event, in seconds.
+          now_s: Monotonic time in seconds.
         """
-        limit = self._limits.setdefault(route, _LatencyThreshold())
-        slow = limit.is_slow(elapsed_s)
-        if not is_new and not failed:
-            limit.add(elapsed_s)
-        key = (route, is_new)
-        known = self._own.get(key, VersionCount(route, is_new))
-        self._own[key] = known + VersionCount(
-            route, is_new, 1, int(failed), int(slow)
-        )
+        counts = self._own.setdefault((route, is_new), AttemptCounts())
+        sample = AttemptSample(counts, now_s)
+        self._open[sample] = route
+        return sample
+
+    def end(self, sample: AttemptSample, now_s: float) -> None:
+        """Ends the measurement of an attempt.
+
+        One that its caller gave up counts as slow if it has waited too long.
+        """
+        route = self._open.pop(sample, None)
+        if route is not None:
+            self._count_if_slow(sample, route, now_s)
 
     def report(
         self, node: str, incarnation: int, counts: Iterable[VersionCount]
@@ -163,52 +104,58 @@
         self._reported[node, incarnation] = tuple(counts)
 
     def attempts(self) -> int:
-        """Returns the attempts of the new version on all nodes."""
-        return sum(c.attempts for c in self._all_counts() if c.is_new)
+        """Returns the completed attempts of the new version on all nodes."""
+        return sum(c.counts.requests for c in self._all_counts() if c.is_new)
 
-    def judge(self) -> str:
+    def judge(self, now_s: float) -> str:
         """Returns why the new version is rejected; empty if it is not."""
-        totals: dict[str, dict[bool, VersionCount]] = {}
-        for count in self._all_counts():
-            by_version = totals.setdefault(
-                count.route,
-                {n: VersionCount(count.route, n) for n in (False, True)},
-            )
-            by_version[count.is_new] += count
-        for route, by_version in totals.items():
-            tests = self._routes.setdefault(route, _RouteTests(route))
-            tests.update(by_version)
-        limit = math.log(
-            max(1, len(totals) * len(RULES)) / FALSE_ROLLBACK_TARGET
-        )
-        evidence, rule, route = self._strongest_evidence()
-        if evidence < limit:
-            return ""
-        new, old = totals[route][True], totals[route][False]
-        return (
-            f"{rule} attempts on route {route}:"
-            f" {getattr(new, rule)} of {new.attempts},"
-            f" of the old version {getattr(old, rule)} of {old.attempts}"
-        )
-
-    def is_cleared(self) -> bool:
-        """Returns whether the evidence suffices to accept the new version."""
-        suspected, _, _ = self._strongest_evidence()
-        return self.attempts() >= MIN_ATTEMPTS and suspected < math.log(
-            HOLD_EVIDENCE
+        if now_s - self._evaluated_s >= EVALUATION_PERIOD_S:
+            self._evaluated_s = now_s
+            self._count_waiting(now_s)
+            self._evaluate()
+        finding = self._judge.finding()
+        return "" if finding is None else finding.text
+
+    def unmet_requirement(self) -> str:
+        """Describes what an acceptance of the new version lacks, if anything.
+
+        The absence of a finding does not suffice: a version that answers too
+        few attempts causes none.
+        """
+        return self._judge.unmet_requirement(
+            MIN_ATTEMPTS,
+            ERROR_TOLERANCE,
+            false_pass_target=FALSE_PASS_TARGET,
+        ) or self._judge.doubtful_route(ERROR_TOLERANCE)
+
+    def _count_waiting(self, now_s: float) -> None:
+        for sample, route in self._open.items():
+            self._count_if_slow(sample, route, now_s)
+
+    def _count_if_slow(
+        self, sample: AttemptSample, route: str, now_s: float
+    ) -> None:
+        sample.count_waiting(
+            now_s,
+            self._judge.limit_s("latency", route),
+            self._judge.limit_s("token_gap", route),
         )
 
-    def _strongest_evidence(self) -> tuple[float, str, str]:
-        return max(
-            (
-                (test.log_evidence, rule, route)
-                for route, tests in self._routes.items()
-                for rule, test in tests.tests.items()
-            ),
-            default=(-math.inf, "", ""),
-        )
+    def _evaluate(self) -> None:
+        """Evaluates what has been added to the totals of all nodes."""
+        totals: WindowCounts = {}
+        for count in self._all_counts():
+            self._judge.add_route(count.route)
+            key = (NEW if count.is_new else OLD, count.route)
+            totals.setdefault(key, AttemptCounts()).add(count.counts)
+        window = {
+            key: counts.since(self._evaluated.get(key, AttemptCounts()))
+            for key, counts in totals.items()
+        }
+        self._evaluated = totals
+        self._judge.observe(window)
 
     def _all_counts(self) -> Iterable[VersionCount]:
-        yield from self._own.values()
+        yield from self.counts
         for counts in self._reported.values():
             yield from counts
--- a/packages/guavalane-core/tests/moves/test_table.py
+++ b/packages/guavalane-core/tests/moves/test_table.py
@@ -13,6 +13,8 @@
 # Operators' limit on the fraction of a service's requests that a version under
 # trial receives.
 EXPOSURE = 0.1
+# Requests that the operators allow it in addition.
+SLACK = 50
 LIMIT_S = 12.0
 
 
@@ -26,6 +28,13 @@
     return {endpoint.version for endpoint in endpoints}
 
 
+def record(trial, *, is_new, failed=False):
+    """Records an attempt of 0.1 s."""
+    sample = trial.begin("r", is_new=is_new, now_s=0.0)
+    trial.end(sample, 0.1)
+    sample.finish(0.1, failed=failed)
+
+
 class TestMoveTable:
     """Guards against versions under trial that receive too many requests."""
 
@@ -41,7 +50,7 @@
     @pytest.fixture
     def table(self):
         """Returns a table without a move."""
-        return MoveTable(EXPOSURE)
+        return MoveTable(EXPOSURE, SLACK)
 
     def test_without_a_move_all_versions_serve(self, table, endpoints):
         allowed = table.allowed("app", endpoints, 0.0, first=True)
@@ -80,8 +89,8 @@
         trial = table.moves["app"].trial
         for number in range(400):
             for is_new in (True, False):
-                trial.record("r", is_new=is_new, failed=is_new, elapsed_s=0.1)
-            if number % 20 == 19 and table.judge():
+                record(trial, is_new=is_new, failed=is_new)
+            if number % 20 == 19 and table.judge(float(number)):
                 break
         assert table.moves["app"].fault
         assert table.moves["app"].next_phase(1.0) is MovePhase.ROLLED_BACK
@@ -159,8 +168,12 @@
         table = MoveTable(EXPOSURE)
         table.offer(make_move(), 0.0)
         followed = table.moves["app"]
-        for _ in range(attempts):
-            followed.trial.record("r", is_new=True, failed=False, elapsed_s=0.1)
+        for second in range(4):
+            for number in range(100):
+                record(followed.trial, is_new=False)
+                if number < attempts / 4:
+                    record(followed.trial, is_new=True)
+            table.judge(float(second))
         return followed
 
     def test_an_order_is_run_at_once(self):
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -177,13 +177,17 @@
         )
         progress.tried.add(endpoint.endpoint_id)
         progress.last_status = None
-        began_s = now_s = self._now()
+        now_s = self._now()
         view.ejector.on_dispatch(endpoint.endpoint_id, now_s)
         prefill_tokens = self._prefill_tokens(candidate, now_s)
         work = view.work.start(endpoint.endpoint_id, prefill_tokens)
         view.record_sent(self._admitted.service.name, prefill_tokens)
         if progress.arrivals:
             view.retries(self._admitted.service.name).spend(now_s)
+        sample = view.moves.begin_attempt(
+            endpoint, self._admitted.route.name, now_s
+        )
+        progress.sample = sample
         if not self._admitted.is_stream:
             # A plain service starts to run a request on arrival, an engine with
             # its first token.
@@ -208,41 +212,25 @@
             # was sent.
             progress.possibly_run = True
             if self._time_left() <= 0:
-                self._count_outcome(endpoint, began_s, failed=True)
+                sample.finish(self._now(), failed=True)
             raise
         finally:
             view.work.finish(work)
+            view.moves.end_attempt(endpoint, sample, self._now())
+            progress.sample = None
         progress.arrivals += 1
         if outcome is AttemptOutcome.REJECTED:
             self._undo_count_run()
         else:
             progress.possibly_run = True
             progress.runs += 1
-            self._count_outcome(
-                endpoint,
-                began_s,
+            sample.finish(
+                self._now(),
                 failed=outcome is not AttemptOutcome.ANSWERED,
+                rejected=400 <= (progress.last_status or 0) < 500,
             )
         return outcome
 
-    def _count_outcome(
-        self, endpoint: Endpoint, began_s: float, *, failed: bool
-    ) -> None:
-        """Records an attempt in the trial of a running version move."""
-        moves = self._view.moves
-        followed = moves.running(endpoint.service)
-        if followed is None:
-            return
-        end_s = self._now()
-        if self._progress.first_event_s is not None:
-            end_s = self._request.arrived_s + self._progress.first_event_s
-        followed.trial.record(
-            self._admitted.route.name,
-            is_new=moves.is_new(endpoint),
-            failed=failed,
-            elapsed_s=max(0.0, end_s - began_s),
-        )
-
     def _prefill_tokens(self, candidate: Candidate, now_s: float) -> int:
         prompt = self._request.prompt
         if prompt is None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/move_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/move_duty.py
@@ -51,6 +51,7 @@
             target=followed.move.target,
             phase=phase.value,
             fault=followed.fault,
+            unmet=followed.unmet,
             attempts=followed.trial.attempts(),
             age_s=round(self._view.timers.now() - followed.seen_s, 2),
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from guavalane_core.moves.samples import AttemptSample
+
 
 @attrs.define
 class Progress:
@@ -23,6 +25,7 @@
       last_status: Status of the last endpoint response; None without one.
       last_failure: Status, headers and body of an endpoint's error response,
           forwarded if no attempt succeeds.
+      sample: Measurement of the current attempt; None between attempts.
     """
 
     possibly_run: bool = False
@@ -36,3 +39,4 @@
     longest_gap_s: float = 0.0
     last_status: int | None = None
     last_failure: tuple[int, list[tuple[str, str]], bytes] | None = None
+    sample: AttemptSample | None = None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -8,13 +8,12 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 from guavalane_core.exceptions import MessageError
 from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
     AllotmentReport,
-    MoveOutcomes,
     NodeReport,
     PrefixUse,
     ServiceDemand,
@@ -23,11 +22,11 @@
     decode,
     encode,
 )
-from guavalane_core.moves.trial import VersionCount
 from guavalane_core.timers import Timers
 from guavalane_core.usage.counts import WindowCount
 from guavalane_entry.gateway.allotment_reports import AllotmentReports
 from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.move_reports import apply_outcomes, make_outcomes
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.work_reports import (
@@ -317,7 +316,7 @@
                 PrefixUse(endpoint=endpoint_id, part=part_id)
                 for endpoint_id, part_id in view.prefixes.take_unreported()
             ),
-            moves=tuple(self._move_outcomes()),
+            moves=tuple(make_outcomes(view.moves)),
         )
 
     def _recent_usage(self) -> Iterable[WindowCount]:
@@ -326,22 +325,6 @@
             return ()
         return self._view.usage.recent()
 
-    def _move_outcomes(self) -> Iterator[MoveOutcomes]:
-        moves = self._view.moves
-        for service, followed in moves.moves.items():
-            if moves.running(service) is None:
-                continue
-            for count in followed.trial.counts:
-                yield MoveOutcomes(
-                    service=service,
-                    target=followed.move.target,
-                    route=count.route,
-                    is_new=count.is_new,
-                    attempts=count.attempts,
-                    failed=count.failed,
-                    slow=count.slow,
-                )
-
     def receive(self, data: bytes, address: str) -> None:
         """Processes a datagram from another node.
 
@@ -402,31 +385,11 @@
             )
         for use in report.prefixes:
             view.prefixes.record_part(use.endpoint, use.part, now_s)
-        self._apply_moves(report)
-
-    def _apply_moves(self, report: NodeReport) -> None:
-        counts: dict[tuple[str, str], list[VersionCount]] = {}
-        for outcomes in report.moves:
-            counts.setdefault((outcomes.service, outcomes.target), []).append(
-                VersionCount(
-                    outcomes.route,
-                    outcomes.is_new,
-                    outcomes.attempts,
-                    outcomes.failed,
-                    outcomes.slow,
-                )
-            )
-        moves = self._view.moves
-        for (service, target), move_counts in counts.items():
-            followed = moves.running(service)
-            if followed is not None and followed.move.target == target:
-                followed.trial.report(
-                    report.node, report.incarnation, move_counts
-                )
+        apply_outcomes(view.moves, report)
         self._evaluate_moves()
 
     def _evaluate_moves(self) -> None:
-        for condemned in self._view.moves.judge():
+        for condemned in self._view.moves.judge(self._timers.now()):
             self._log.event(
                 "move.condemned",
                 service=condemned.move.service,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -160,6 +160,8 @@
             read_s = now_s
             await self._start_stream(response)
             self._progress.events += len(events)
+            if self._progress.sample is not None:
+                self._progress.sample.on_events(len(events), now_s)
             for event in events:
                 if event.event_id is not None:
                     self._progress.last_event_id = event.event_id
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -83,6 +83,8 @@
           reported, in seconds.
       exposure: Largest fraction of a service's requests that a new version
           may receive before its trial has succeeded.
+      exposure_slack: Number of requests that it may receive in addition, on all
+          nodes together.
       lease_s: Duration of the lease on duties in seconds.
       stop_grace_s: Time from SIGTERM to SIGKILL in seconds.
     """
@@ -99,5 +101,6 @@
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
     exposure: float = 0.1
+    exposure_slack: float = 0.0
     lease_s: float = 3.0
     stop_grace_s: float = 8.0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -55,7 +55,7 @@
         self._clock = MedianClock(timers)
         self._usage = UsageCounts(settings.usage_window_s)
         self._peers: dict[str, str] = {}
-        self._moves = MoveTable(settings.exposure)
+        self._moves = MoveTable(settings.exposure, settings.exposure_slack)
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -162,9 +162,9 @@
                 trial = view.moves.running("app").trial
                 for number in range(25):
                     is_new = number < 2
-                    trial.record(
-                        "r", is_new=is_new, failed=is_new, elapsed_s=0.1
-                    )
+                    sample = trial.begin("r", is_new=is_new, now_s=0.0)
+                    sample.finish(0.1, failed=is_new)
+            timers.advance(1.0)
             for (_, sender), (_, receiver) in (nodes, reversed(nodes)):
                 receiver.receive(encode(sender.make_report()), SENDER)
         for view, _ in nodes:
@@ -176,9 +176,8 @@
         for target, node_view in (("v2", view), ("v3", other)):
             move = VersionMove("app", target, 12.0, MovePhase.RUNNING)
             node_view.moves.offer(move, 0.0)
-        view.moves.running("app").trial.record(
-            "r", is_new=True, failed=True, elapsed_s=0.1
-        )
+        trial = view.moves.running("app").trial
+        trial.begin("r", is_new=True, now_s=0.0).finish(0.1, failed=True)
         receiver.receive(encode(sender.make_report()), SENDER)
         assert other.moves.running("app").trial.attempts() == 0
 
