Use the old version if an endpoint under trial cannot take a request

A request that was drawn for the version under trial was rejected with 503 when its endpoint was ejected or had no connection left, although endpoints of the old version were free.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -33,25 +33,10 @@
       request: Request.
       tried: Endpoints that were already attempted.
     """
-    now_s = view.timers.now()
-    allowed = view.moves.allowed(
-        service.name,
-        view.directory.usable(service.name),
-        view.rng.random(),
-        first=not tried,
-    )
-    usable = [
-        endpoint
-        for endpoint in allowed
-        if endpoint.endpoint_id not in tried
-        and _has_connection(view, service, endpoint)
-    ]
-    held = view.ejector.held([e.endpoint_id for e in usable], now_s)
-    candidates = [
-        _candidate(view, request, endpoint, now_s)
-        for endpoint in usable
-        if endpoint.endpoint_id not in held
-    ]
+    candidates = _candidates(view, service, request, tried, first=not tried)
+    if not candidates and not tried:
+        # An endpoint of the version under trial may be full or ejected.
+        candidates = _candidates(view, service, request, tried, first=False)
     zone = view.settings.zone
     if service.engine is None or request.prompt is None:
         if view.node_count > MAX_NODES_FULL_COMPARISON:
@@ -71,6 +56,37 @@
     return ranked[0][1] if ranked else None
 
 
+def _candidates(
+    view: NodeView,
+    service: Service,
+    request: CallerRequest,
+    tried: Collection[str],
+    *,
+    first: bool,
+) -> list[Candidate]:
+    """Returns the endpoints that can take an attempt."""
+    now_s = view.timers.now()
+    allowed = view.moves.allowed(
+        service.name,
+        view.directory.usable(service.name),
+        view.rng.random(),
+        first=first,
+        nodes=view.node_count,
+    )
+    usable = [
+        endpoint
+        for endpoint in allowed
+        if endpoint.endpoint_id not in tried
+        and _has_connection(view, service, endpoint)
+    ]
+    held = view.ejector.held([e.endpoint_id for e in usable], now_s)
+    return [
+        _candidate(view, request, endpoint, now_s)
+        for endpoint in usable
+        if endpoint.endpoint_id not in held
+    ]
+
+
 def _candidate(
     view: NodeView, request: CallerRequest, endpoint: Endpoint, now_s: float
 ) -> Candidate:
