List again when a relay had to, even if the versions match

Callers saw: in a large fleet, requests reached an endpoint that had said it was leaving, until its entry changed again.

Cause: followers hold the version up to which their relay has read as proof that they are complete. While the store drops its history, a poll that ends shows no changes but their version, and relays poll for 1 s at a time. The relay's next poll is cut, so it lists again and knows; its followers have the same version, and nothing told them that changes were missing.

Change: a relay tells how often and how long ago it listed a kind. A follower lists again after a list of its relay that may be later than its own, and after a failed call of its relay, as a node does after a failed call of its own.

The new test, a store that hides a change and then cuts its polls, timed out before.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -893,14 +893,20 @@
       kind: Kind of the objects.
       age_ms: Time since the object API last responded to the relay, in
           milliseconds.
+      lists: Number of times that the relay has listed the kind.
+      listed_ms: Time since the relay last listed the kind, in milliseconds.
     """
 
     kind: str
     age_ms: int
+    lists: int
+    listed_ms: int
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "kind": options.Text(),
         "age_ms": options.Integer(minimum=0),
+        "lists": options.Integer(minimum=0),
+        "listed_ms": options.Integer(minimum=0),
     }
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/relays/followed_kind.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/followed_kind.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 
 import attrs
@@ -22,6 +23,10 @@
       version: Version up to which all changes are known.
       confirmed_s: Time of the last response of the object API to the relay, on
           the monotonic clock of this node; None while the relay gets none.
+      lists: Number of lists of the relay.
+      listed_s: Latest time at which the relay can have made its last list, on
+          the monotonic clock of this node.
+      failed_s: Time at which a call of the relay last failed.
       batches: Latest changes.
       changed: Set when changes arrive or the data of the relay is outdated.
     """
@@ -29,11 +34,26 @@
     start: int
     version: int
     confirmed_s: float | None = None
+    lists: int = 0
+    listed_s: float = -math.inf
+    failed_s: float = -math.inf
     batches: deque[ObjectBatch] = attrs.field(
         factory=lambda: deque(maxlen=MAX_BATCHES)
     )
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def on_list(self, lists: int, listed_s: float) -> None:
+        """Records the last list of the relay.
+
+        Args:
+          lists: Number of lists of the relay.
+          listed_s: Estimate of its time; transit only makes it later.
+        """
+        if lists != self.lists:
+            self.lists, self.listed_s = lists, listed_s
+        else:
+            self.listed_s = min(self.listed_s, listed_s)
+
     def append(self, since: int, batch: ObjectBatch) -> None:
         """Appends changes, and discards earlier ones if there is a gap."""
         if since > self.version:
--- a/packages/guavalane-entry/src/guavalane_entry/relays/link.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/link.py
@@ -37,6 +37,7 @@
 # Interval between attempts to select a relay.
 SELECTION_PERIOD_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
+MS_PER_S = 1000
 
 
 class RelayLink:
@@ -120,6 +121,18 @@
             return False
         return known.start <= int(version)
 
+    def is_broken_since(self, kind: str, since_s: float) -> bool:
+        """Returns whether the changes received since a time may be incomplete.
+
+        That is the case after a failed call or a list of the relay, even if the
+        versions match: a response of the object API without changes can be
+        incomplete while it drops its history.
+        """
+        known = self._kinds.get(kind)
+        return known is not None and since_s < max(
+            known.listed_s, known.failed_s
+        )
+
     def is_ahead(self, kind: str, version: str, *, urgent: bool) -> bool:
         """Returns whether the relay provides changes, but only later ones.
 
@@ -225,11 +238,20 @@
         known.changed.set()
 
     def _on_ages(self, ages: Iterable[RelayAge]) -> None:
-        ages_s = {age.kind: age.age_ms / 1000 for age in ages}
+        by_kind = {age.kind: age for age in ages}
         for kind, known in self._kinds.items():
-            age_s = ages_s.get(kind)
-            known.confirmed_s = (
-                None if age_s is None else self._received_s - age_s
+            age = by_kind.get(kind)
+            if age is None:
+                if known.confirmed_s is not None:
+                    known.failed_s = self._received_s
+                known.confirmed_s = None
+                known.changed.set()
+                continue
+            age_s = age.age_ms / MS_PER_S
+            known.confirmed_s = self._received_s - age_s
+            lists = known.lists
+            known.on_list(
+                age.lists, self._received_s - age.listed_ms / MS_PER_S
             )
-            if age_s is None or age_s > MAX_AGE_S:
+            if age_s > MAX_AGE_S or known.lists != lists:
                 known.changed.set()
--- a/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection
 
-from guavalane_core.exceptions import ObjectApiError
+from guavalane_core.exceptions import ObjectApiError, WatchGapError
 from guavalane_core.objects import ObjectBatch, PollableObjectApi, StoredObject
 from guavalane_core.timers import Timers
 from guavalane_entry.relays.link import RelayLink
@@ -43,20 +43,30 @@
         self._server = server
         self._urgent = urgent
         self._timers = timers
+        # Start of the last list of this node by kind.
+        self._listed_s: dict[str, float] = {}
 
     async def list(self, kind: str) -> tuple[list[StoredObject], str]:
         """Returns all objects of a kind; see `ObjectApi`."""
+        began_s = self._timers.now()
         objects, version = await self._api.list(kind)
-        # An empty batch starts a new sequence, as the changes before the list
-        # were not read.
-        self._server.publish(kind, version, ObjectBatch((), version))
+        self._listed_s[kind] = began_s
+        self._server.on_listed(kind, version)
         return objects, version
 
     async def poll(self, kind: str, version: str, wait_s: float) -> ObjectBatch:
-        """Waits for changes of a kind; see `PollableObjectApi`."""
+        """Waits for changes of a kind; see `PollableObjectApi`.
+
+        Raises:
+          WatchGapError: The relay had to list the kind again, so that changes
+              may be missing from what this node received.
+        """
         end_s = self._timers.now() + wait_s
         urgent = kind in self._urgent
         while not self._is_direct():
+            listed_s = self._listed_s.get(kind, 0.0)
+            if self._link.is_broken_since(kind, listed_s):
+                raise WatchGapError(f"{kind}: the relay had to list it again")
             if not self._link.covers(kind, version, urgent=urgent):
                 break
             batch = self._link.changes(kind, version)
--- a/packages/guavalane-entry/src/guavalane_entry/relays/server.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/server.py
@@ -43,6 +43,8 @@
         self._followers: dict[WebSocketResponse, asyncio.Transport] = {}
         self._versions: dict[str, str] = {}
         self._last_response_s: dict[str, float] = {}
+        # Number and time of the lists by kind.
+        self._lists: dict[str, tuple[int, float]] = {}
 
     @property
     def followers(self) -> int:
@@ -56,6 +58,13 @@
         if self._followers:
             self._send(encode_batch(kind, since, batch))
 
+    def on_listed(self, kind: str, version: str) -> None:
+        """Tells all followers that this node has listed a kind."""
+        lists, _ = self._lists.get(kind, (0, 0.0))
+        self._lists[kind] = (lists + 1, self._timers.now())
+        self.publish(kind, version, ObjectBatch((), version))
+        self.send_heartbeat()
+
     def mark_unavailable(self, kind: str) -> None:
         """Records that the object API does not respond for a kind."""
         if self._last_response_s.pop(kind, None) is not None:
@@ -84,17 +93,25 @@
         return follower
 
     def _heartbeat(self) -> bytes:
-        now_s = self._timers.now()
         return encode(
             RelayHeartbeat(
                 ages=tuple(
-                    RelayAge(kind=kind, age_ms=int((now_s - at_s) * 1000))
-                    for kind, at_s in self._last_response_s.items()
+                    self._make_age(kind) for kind in self._last_response_s
                 ),
                 loads=self._loads(),
             )
         )
 
+    def _make_age(self, kind: str) -> RelayAge:
+        now_s = self._timers.now()
+        lists, listed_s = self._lists.get(kind, (0, 0.0))
+        return RelayAge(
+            kind=kind,
+            age_ms=int((now_s - self._last_response_s[kind]) * 1000),
+            lists=lists,
+            listed_ms=int((now_s - listed_s) * 1000),
+        )
+
     def _send(self, frame: bytes) -> None:
         for follower, transport in list(self._followers.items()):
             if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -8,7 +8,10 @@
 
 import pytest
 
-from guavalane_core.exceptions import ObjectApiUnavailableError
+from guavalane_core.exceptions import (
+    ObjectApiUnavailableError,
+    WatchGapError,
+)
 from guavalane_core.messages import WorkReport, decode
 from guavalane_core.objects import ObjectBatch, ObjectEvent, StoredObject
 from guavalane_core.placement import WorkTable
@@ -25,7 +28,10 @@
     choose_relays,
 )
 from guavalane_entry.relays.link import RelayLink
-from guavalane_entry.relays.object_api import RelayedObjectApi
+from guavalane_entry.relays.object_api import (
+    MAX_URGENT_WAIT_S,
+    RelayedObjectApi,
+)
 from guavalane_entry.relays.server import HEARTBEAT_S, PATH, RelayServer
 from guavalane_standins.processes import free_port
 
@@ -52,8 +58,13 @@
         self.revision = 10
         self.events = []
         self.calls = {}
+        self.lists = {}
         self.down_for = set()
         self.silent_for = set()
+        # Revisions that polls do not show, and number of times that all polls
+        # were cut.
+        self.hidden = set()
+        self.cuts = 0
         self._changed = asyncio.Event()
 
     def put(self, name, *, deleted=False):
@@ -68,6 +79,16 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def put_hidden(self, name):
+        """Writes an object, but shows the change to no poll."""
+        self.hidden.add(self.revision + 1)
+        self.put(name)
+
+    def cut(self):
+        """Cuts all polls."""
+        self.cuts += 1
+        self.wake()
+
     def caller(self, name):
         """Returns the API as one node sees it."""
         return _Caller(self, name)
@@ -77,10 +98,15 @@
         self.calls[caller] = self.calls.get(caller, 0) + 1
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_s
+        cuts = self.cuts
         while True:
-            if caller in self.down_for:
+            if caller in self.down_for or cuts != self.cuts:
                 raise ObjectApiUnavailableError("down")
-            found = [e for r, e in self.events if r > int(version)]
+            found = [
+                event
+                for revision, event in self.events
+                if revision > int(version) and revision not in self.hidden
+            ]
             silent = caller in self.silent_for
             if not silent and (found or loop.time() >= end_s):
                 return ObjectBatch(tuple(found), str(self.revision))
@@ -97,7 +123,10 @@
         self._name = name
 
     async def list(self, kind):
-        return [], str(self._store.revision)
+        lists = self._store.lists
+        lists[self._name] = lists.get(self._name, 0) + 1
+        objects = [event.object for _, event in self._store.events]
+        return objects, str(self._store.revision)
 
     async def poll(self, kind, version, wait_s):
         return await self._store.poll(self._name, version, wait_s)
@@ -171,12 +200,20 @@
         self._task.cancel()
 
     async def _watch(self):
-        _, version = await self.api.list(KIND)
+        version = None
         while True:
             try:
+                if version is None:
+                    objects, version = await self.api.list(KIND)
+                    self.seen += [
+                        stored.name
+                        for stored in objects
+                        if stored.name not in self.seen
+                    ]
                 batch = await self.api.poll(KIND, version, 25.0)
-            except ObjectApiUnavailableError:
+            except (ObjectApiUnavailableError, WatchGapError):
                 await asyncio.sleep(0.05)
+                version = None
                 continue
             self.seen += [event.object.name for event in batch.events]
             version = batch.version
@@ -325,6 +362,31 @@
         await relay.api.list(KIND)
         await follower.wait_for("missed", APPLY_S)
 
+    async def test_followers_list_again_after_a_list_of_their_relay(self, pair):
+        """Guards against a change that the API hides before it drops history.
+
+        The poll of the relay ends without the change, but at its version, so
+        that followers consider their objects complete.
+        """
+        store, relay, follower = pair
+        store.put_hidden("hidden")
+        await asyncio.sleep(MAX_URGENT_WAIT_S + 0.3)
+        assert "hidden" not in relay.seen
+        store.cut()
+        await relay.wait_for("hidden", 0.5)
+        await follower.wait_for("hidden", 0.5)
+
+    async def test_a_follower_lists_once_after_a_list_of_its_relay(self, pair):
+        """Guards against followers that list at each heartbeat."""
+        store, _, follower = pair
+        store.cut()
+        await asyncio.sleep(1.0)
+        lists = store.lists[FOLLOWER]
+        await asyncio.sleep(4 * HEARTBEAT_S)
+        assert store.lists[FOLLOWER] == lists
+        store.put("later")
+        await follower.wait_for("later", 1.0)
+
     async def test_a_follower_sees_each_change_once(self, pair):
         store, _, follower = pair
         store.put("once")
