--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -8,6 +8,10 @@
 from guavalane_core.forwarding.configuration import Organisation
 from guavalane_core.forwarding.request import Prompt
 
+# Level, as a fraction of the bucket, below which an allotment is nearly
+# exhausted.
+NEARLY_EXHAUSTED = 0.75
+
 
 def request_units(organisation: Organisation, prompt: Prompt | None) -> int:
     """Returns the units that a request draws from the allotment."""
@@ -77,6 +81,7 @@
         allotment = self._allotments.get(name)
         if allotment is None:
             return 0.0
+        allotment.set_nodes(len(self._reported) + 1)
         wait_s = allotment.try_draw(units, now_s)
         if wait_s == 0:
             self._drawn[name] = self._drawn.get(name, 0) + units
@@ -102,6 +107,18 @@
             for name, allotment in self._allotments.items()
         }
 
+    def nearly_exhausted(self, now_s: float) -> list[str]:
+        """Returns the organisations whose draws other nodes need to know soon.
+
+        An allotment that is mostly full leaves room for draws that are not
+        reported yet.
+        """
+        return [
+            name
+            for name, allotment in self._allotments.items()
+            if allotment.level_at(now_s) < NEARLY_EXHAUSTED * allotment.burst
+        ]
+
     def has_report(self, node: str, incarnation: int) -> bool:
         """Returns whether a process has reported its totals."""
         known = self._reported.get(node)
@@ -139,7 +156,8 @@
         """Deducts the units that a node has drawn since its last report.
 
         Reports are ignored until the limits are known. Nothing is lost, because
-        each report contains the totals.
+        each report contains totals. Organisations that it does not name are
+        unchanged.
         """
         if not self._configured:
             return
@@ -154,5 +172,5 @@
             if units > 0:
                 allotment.deduct_reported(units, now_s)
             else:
-                allotment.refund(-units, now_s)
-        self._reported[node] = (incarnation, dict(totals))
+                allotment.refund(-units, now_s, own=False)
+        self._reported[node] = (incarnation, {**known[1], **totals})
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "Ack",
+    "AllotmentReport",
     "AllotmentUse",
     "CompressedMemberList",
     "ConfigDelta",
@@ -777,28 +778,36 @@
       target: Version that the service moves to.
       route: Name of the route.
       is_new: Whether the counts are those of the target version.
-      attempts: Number of finished attempts.
-      failed: Number of failed attempts.
-      slow: Number of attempts slower than the 75th percentile of the old
-          version.
+      requests: Number of finished attempts.
+      errors: Number of failed attempts.
+      rejected: Number of attempts with a 4xx response.
+      latency_buckets: Histogram of the time to first token or response, also of
+          attempts that still wait: index of the first non-empty bucket, then
+          the counts up to the last non-empty one.
+      gap_buckets: Histogram of the mean time between stream events, in the same
+          format.
     """
 
     service: str
     target: str
     route: str
     is_new: bool
-    attempts: int
-    failed: int
-    slow: int
+    requests: int
+    errors: int
+    rejected: int
+    latency_buckets: tuple[int, ...]
+    gap_buckets: tuple[int, ...]
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "service": options.Text(),
         "target": options.Text(),
         "route": options.Text(),
         "is_new": options.Boolean(),
-        "attempts": options.Integer(minimum=0),
-        "failed": options.Integer(minimum=0),
-        "slow": options.Integer(minimum=0),
+        "requests": options.Integer(minimum=0),
+        "errors": options.Integer(minimum=0),
+        "rejected": options.Integer(minimum=0),
+        "latency_buckets": options.ListOf(options.Integer(minimum=0)),
+        "gap_buckets": options.ListOf(options.Integer(minimum=0)),
     }
 
 
@@ -884,14 +893,20 @@
       kind: Kind of the objects.
       age_ms: Time since the object API last responded to the relay, in
           milliseconds.
+      lists: Number of times that the relay has listed the kind.
+      listed_ms: Time since the relay last listed the kind, in milliseconds.
     """
 
     kind: str
     age_ms: int
+    lists: int
+    listed_ms: int
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "kind": options.Text(),
         "age_ms": options.Integer(minimum=0),
+        "lists": options.Integer(minimum=0),
+        "listed_ms": options.Integer(minimum=0),
     }
 
 
@@ -939,6 +954,35 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class AllotmentReport:
+    """Usage of nearly exhausted allotments, sent between node reports.
+
+    Attributes:
+      node: Name of the sender.
+      incarnation: Incarnation of the sender.
+      sequence: Sequence of the latest node report of the sender.
+      update: Number that increases with each allotment report after that node
+          report.
+      allotments: Allotment usage by organisation.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    update: int
+    allotments: tuple[AllotmentUse, ...]
+
+    TYPE_ID: ClassVar[int] = 54
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "node": options.Text(),
+        "incarnation": options.Integer(minimum=0),
+        "sequence": options.Integer(minimum=0),
+        "update": options.Integer(minimum=1),
+        "allotments": options.ListOf(options.Section(AllotmentUse)),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """State that a node reports to the other nodes several times per second.
