Notice a partition of a large fleet within a second

Cause: a node counted as reachable for four report periods, 5 s with 80 nodes, and kept its share of each allotment at both sides of the partition meanwhile.

Change: two periods without a report take the share of a node. If fewer than 0.7 of the expected reports arrive within 1 s, the share is taken from them at once, also between own reports. A lost datagram costs the share of one node, so a short limit does no harm there; failed nodes are still told by four periods.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/allotment_reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/allotment_reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 
 from guavalane_core.messages import (
     AllotmentReport,
@@ -96,12 +96,9 @@
         """Applies the usage in a node report of another node."""
         self._apply(report, 0)
 
-    def set_share(self, live: Collection[str]) -> None:
+    def set_share(self, share: float) -> None:
         """Sets the share of the allotments that belongs to the live nodes."""
-        live_count = len(set(live) & set(self._view.peers))
-        self._view.allotments.set_share(
-            (live_count + 1) / self._view.node_count, self._timers.now()
-        )
+        self._view.allotments.set_share(share, self._timers.now())
 
     def _is_older(self, incarnation: int) -> bool:
         """Returns whether a process started well before this one."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -63,10 +63,14 @@
 # this number of report periods if that is longer.
 PEER_TIMEOUT_S = 2.0
 PEER_TIMEOUT_PERIODS = 4
-# A node without a report for this time, in seconds, or for as many periods, may
-# draw its share of each allotment unseen. Draws of the other nodes count double
-# meanwhile.
+# A node without a report for this time, in seconds, or for this number of
+# report periods if that is longer, may draw its share of each allotment unseen.
+# A lost datagram only costs the share of one node.
 SHARE_TIMEOUT_S = 1.0
+SHARE_TIMEOUT_PERIODS = 2
+# If fewer reports than this fraction of the expected ones arrive within
+# SHARE_TIMEOUT_S, the fleet is partitioned, and the share is taken from them.
+PARTITION_FRACTION = 0.7
 
 
 def report_period_s(nodes: int) -> float:
@@ -184,6 +188,7 @@
         if self._transport is None:
             return
         self._schedule_allotments()
+        self._update_allotment_share()
         nodes = self._view.node_count
         if allotment_period_s(nodes) < report_period_s(nodes):
             self._allotments.send(self._sequence)
@@ -217,11 +222,8 @@
         ]
 
     def _peer_timeout_s(self) -> float:
-        return max(PEER_TIMEOUT_S, self._share_timeout_s())
-
-    def _share_timeout_s(self) -> float:
         period_s = report_period_s(self._view.node_count)
-        return max(SHARE_TIMEOUT_S, PEER_TIMEOUT_PERIODS * period_s)
+        return max(PEER_TIMEOUT_S, PEER_TIMEOUT_PERIODS * period_s)
 
     def live_holder(self) -> str | None:
         """Returns the live peer that reports holding the duties, if any."""
@@ -399,6 +401,20 @@
             )
 
     def _update_allotment_share(self) -> None:
-        self._allotments.set_share(
-            self._peers_heard_within(self._share_timeout_s())
+        """Sets the share of the allotments that the reachable nodes have."""
+        peers = len(self._view.peers)
+        period_s = report_period_s(self._view.node_count)
+        live = self._count_heard(
+            max(SHARE_TIMEOUT_S, SHARE_TIMEOUT_PERIODS * period_s)
+        )
+        expected = peers * min(1.0, SHARE_TIMEOUT_S / period_s)
+        recent = self._count_heard(SHARE_TIMEOUT_S)
+        if recent < PARTITION_FRACTION * expected:
+            live = min(live, peers * recent / expected)
+        self._allotments.set_share((live + 1) / (peers + 1))
+
+    def _count_heard(self, seconds: float) -> int:
+        """Returns how many peers have sent a report within a time."""
+        return len(
+            set(self._peers_heard_within(seconds)) & set(self._view.peers)
         )
--- a/packages/guavalane-entry/tests/gateway/test_allotment_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_allotment_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -178,11 +179,17 @@
     RATE = 364_000.0
     SIZES = (300, 900, 1830, 1830, 7400, 7400, 20_000)
 
-    def admit(self, load, seed):
+    def admit(self, load, seed, cut_s=(math.inf, math.inf), isolated=0):
         """Returns times and units that the nodes of a large fleet admit.
 
         The organisation sends 0.6 of its limit, and `load` times its limit
         from second 6.5 to 12.2.
+
+        Args:
+          load: Requested units, as a multiple of the limit.
+          seed: Seed of the load.
+          cut_s: Start and end of a partition, in seconds.
+          isolated: Number of nodes that each hear no other one in that time.
         """
         timers = ManualTimers()
         rng = random.Random(seed)
@@ -216,6 +223,10 @@
                     self.frames.clear()
                     report = self.frames[frame] = decode(frame)
                 receiver = receivers[address[1]]
+                cut = set(names[:isolated])
+                ends = {report.node, names[address[1] - 7600]}
+                if cut_s[0] <= timers.now() < cut_s[1] and ends & cut:
+                    return
                 receiver._last_report_s[report.node] = timers.now()
                 if type(report).__name__ == "AllotmentReport":
                     receiver._allotments.receive(report)
@@ -253,6 +264,16 @@
             units = sum(u for t, u in admitted if begin_s <= t < end_s)
             assert units <= bound, (begin_s, units / bound)
 
+    def test_a_partitioned_fleet_keeps_the_allotment(self):
+        """Guards against isolated nodes that draw as if all were heard."""
+        bound = 1.1 * (self.RATE * self.WINDOW_S + self.RATE) + 140_000
+        admitted = self.admit(3.6, seed=3, cut_s=(7.0, 15.0), isolated=26)
+        for start in range(0, 28):
+            begin_s = start * 0.25
+            end_s = begin_s + self.WINDOW_S
+            units = sum(u for t, u in admitted if begin_s <= t < end_s)
+            assert units <= bound, (begin_s, units / bound)
+
     def test_nothing_is_refused_below_the_limit(self):
         admitted = self.admit(0.9, seed=2)
         asked = sum(units for _, units in admitted)
