Bound the age of relayed data also while the relay is silent

A follower that waits for its relay now wakes when the data of an urgent kind becomes older than 1.6 s. The new test needs the change 0.5 s after the data is outdated and timed out before.

--- a/packages/guavalane-entry/src/guavalane_entry/relays/link.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/link.py
@@ -26,12 +26,14 @@
 from guavalane_entry.relays.frames import decode_batch
 from guavalane_entry.relays.server import PATH
 
-# Time without a message after which a relay is abandoned. Together with the
-# maximum age below, it stays within the shortest time limit of operators for
-# the delay of changes.
+# Time without a message after which a relay is abandoned.
 RELAY_TIMEOUT_S = 1.2
-# Maximum age of the data of a relay for urgent kinds.
+# Maximum age of the data of a relay for urgent kinds. Older data is replaced by
+# that of the object API, so that changes are applied within the shortest time
+# limit of operators for their delay, 2 s.
 MAX_AGE_S = 1.6
+# Delay of the check for outdated data after it has become so.
+AGE_CHECK_MARGIN_S = 0.01
 # Time for which a relay is not used after a failure.
 EXCLUSION_S = 3.0
 # Interval between attempts to select a relay.
@@ -149,14 +151,20 @@
         """Returns the changes after a version; see `covers`."""
         return self._kinds[kind].changes_after(int(version))
 
-    async def wait(self, kind: str, timeout_s: float) -> None:
+    async def wait(self, kind: str, timeout_s: float, *, urgent: bool) -> None:
         """Waits until the relay reports a change or its data is outdated.
 
         Args:
           kind: Kind of the objects, which the relay must provide.
           timeout_s: Maximum wait in seconds.
+          urgent: Whether the data of the relay must not exceed the maximum age.
         """
-        changed = self._kinds[kind].changed
+        known = self._kinds[kind]
+        if urgent and known.confirmed_s is not None:
+            # A silent relay is detected later than its data is outdated.
+            fresh_s = known.confirmed_s + MAX_AGE_S - self._timers.now()
+            timeout_s = min(timeout_s, max(0.0, fresh_s) + AGE_CHECK_MARGIN_S)
+        changed = known.changed
         changed.clear()
         try:
             async with asyncio.timeout(timeout_s):
--- a/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -73,7 +73,7 @@
             left_s = end_s - self._timers.now()
             if batch.events or left_s <= 0:
                 return batch
-            await self._link.wait(kind, left_s)
+            await self._link.wait(kind, left_s, urgent=urgent)
         return await self._poll_directly(kind, version, wait_s)
 
     def _is_direct(self) -> bool:
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 
@@ -27,7 +28,7 @@
     RELAY_COUNT,
     choose_relays,
 )
-from guavalane_entry.relays.link import RelayLink
+from guavalane_entry.relays.link import MAX_AGE_S, RelayLink
 from guavalane_entry.relays.object_api import (
     MAX_URGENT_WAIT_S,
     RelayedObjectApi,
@@ -168,8 +169,12 @@
         self.api = RelayedObjectApi(
             store.caller(name), self.link, self.server, (KIND,), timers
         )
+        # Delay of what followers receive, in seconds.
+        self.link_delay_s = 0.0
+        self._server_address = Address("127.0.0.1", free_port())
+        self._proxy = None
         self._listener = StatusListener(
-            self.address, {}, {PATH: self.server.serve}
+            self._server_address, {}, {PATH: self.server.serve}
         )
         self._heartbeat = timers.call_every(
             HEARTBEAT_S, self.server.send_heartbeat
@@ -184,6 +189,9 @@
     async def start(self):
         """Starts the listener and the watch."""
         await self._listener.start()
+        self._proxy = await asyncio.start_server(
+            self._connect, self.address.host, self.address.port
+        )
         self.link.start()
         self._task = asyncio.create_task(self._watch())
 
@@ -192,8 +200,27 @@
         self._heartbeat.cancel()
         self._task.cancel()
         await self.link.stop()
+        self._proxy.close()
         await self._listener.stop()
 
+    async def _connect(self, reader, writer):
+        """Forwards a connection to the server of the relay."""
+        address = self._server_address
+        server_reader, server_writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        await asyncio.gather(
+            self._forward(reader, server_writer, lambda: 0.0),
+            self._forward(server_reader, writer, lambda: self.link_delay_s),
+        )
+
+    async def _forward(self, reader, writer, delay_s):
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                loop.call_later(delay_s(), writer.write, data)
+        loop.call_later(delay_s(), writer.close)
+
     def stall(self):
         """Stops reading and sending, but keeps connections open."""
         self._heartbeat.cancel()
@@ -347,6 +374,16 @@
         store.put("later")
         await follower.wait_for("later", APPLY_S)
 
+    async def test_age_and_silence_of_a_relay_do_not_add_up(self, pair):
+        """Guards against data that is trusted for its age and a timeout."""
+        store, relay, follower = pair
+        store.silent_for.add(RELAY)
+        await asyncio.sleep(MAX_AGE_S - 0.3)
+        relay.stall()
+        store.put("later")
+        # The relay is abandoned only after 1.2 s.
+        await follower.wait_for("later", 0.8)
+
     async def test_a_stopped_relay_is_replaced_in_time(self, pair):
         store, relay, follower = pair
         await relay.stop()
