Count the transit of a relay's messages as age of their data

Callers could reach an endpoint for seconds after it had left: the age in a heartbeat is that at its encoding. The time in the send buffer of the relay, up to 4 MB on links of 5 Mbit/s, or on a lossy link was not included, so that a follower took data for fresh on arrival.

A follower pings its relay at each heartbeat and dates messages by the last ping that was answered before them, which needs no clock of the relay. Relays poll for 0.8 s instead of 1 s, so that the age of a healthy relay stays clear of the limit.

The new test, a link whose delay grows to 1.9 s, timed out before.

--- a/packages/guavalane-entry/src/guavalane_entry/relays/followed_kind.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/followed_kind.py
@@ -21,8 +21,9 @@
     Attributes:
       start: Version after which all changes are known.
       version: Version up to which all changes are known.
-      confirmed_s: Time of the last response of the object API to the relay, on
-          the monotonic clock of this node; None while the relay gets none.
+      confirmed_s: Time at or before the last response of the object API to the
+          relay, on the monotonic clock of this node; None while the relay gets
+          none.
       lists: Number of lists of the relay.
       listed_s: Latest time at which the relay can have made its last list, on
           the monotonic clock of this node.
--- a/packages/guavalane-entry/src/guavalane_entry/relays/link.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/link.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable, Sequence
+from typing import Any
 
 import aiohttp
 
@@ -75,6 +76,10 @@
         self._kinds: dict[str, FollowedKind] = {}
         self._relay: str | None = None
         self._received_s = 0.0
+        # Time after which the last message was sent, and time of the ping that
+        # has not been answered.
+        self._sent_after_s = 0.0
+        self._pinged_s: float | None = None
         self._excluded_until: dict[str, float] = {}
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task | None = None
@@ -197,8 +202,10 @@
         reason = "closed"
         url = f"http://{self._address_of(relay)}{PATH}"
         try:
+            self._sent_after_s = self._timers.now()
+            self._pinged_s = None
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                socket = await self._session.ws_connect(url)
+                socket = await self._session.ws_connect(url, autoping=False)
             async with socket:
                 self._relay = relay
                 self._log.event("relay.followed", relay=relay)
@@ -226,14 +233,38 @@
     ) -> None:
         """Handles messages until the relay is unresponsive or not a relay."""
         while relay in self._relays():
-            frame = await socket.receive_bytes(timeout=RELAY_TIMEOUT_S)
+            received = await socket.receive(timeout=RELAY_TIMEOUT_S)
             self._received_s = self._timers.now()
-            message = decode(frame)
-            if isinstance(message, RelayedBatch):
-                self._on_batch(message)
-            elif isinstance(message, RelayHeartbeat):
-                self._on_ages(message.ages)
-                self._on_loads(message.loads)
+            if received.type is aiohttp.WSMsgType.PONG:
+                self._on_pong()
+            elif received.type is aiohttp.WSMsgType.PING:
+                await socket.pong(received.data)
+            elif received.type is aiohttp.WSMsgType.BINARY:
+                await self._on_message(decode(received.data), socket)
+            else:
+                raise ConnectionResetError(f"received {received.type.name}")
+
+    async def _on_message(
+        self, message: Any, socket: aiohttp.ClientWebSocketResponse
+    ) -> None:
+        if isinstance(message, RelayedBatch):
+            self._on_batch(message)
+        elif isinstance(message, RelayHeartbeat):
+            self._on_ages(message.ages)
+            self._on_loads(message.loads)
+            if self._pinged_s is None:
+                self._pinged_s = self._received_s
+                await socket.ping()
+
+    def _on_pong(self) -> None:
+        """Records that messages from here on were sent after the ping.
+
+        The time that a message spends in the send buffer of the relay or on a
+        slow link would make its data look newer than it is.
+        """
+        if self._pinged_s is not None:
+            self._sent_after_s = self._pinged_s
+            self._pinged_s = None
 
     def _on_batch(self, message: RelayedBatch) -> None:
         since = int(message.since)
@@ -242,7 +273,7 @@
             known = FollowedKind(since, since)
             self._kinds[message.kind] = known
         known.append(since, decode_batch(message))
-        known.confirmed_s = self._received_s
+        known.confirmed_s = self._sent_after_s
         known.changed.set()
 
     def _on_ages(self, ages: Iterable[RelayAge]) -> None:
@@ -256,10 +287,11 @@
                 known.changed.set()
                 continue
             age_s = age.age_ms / MS_PER_S
-            known.confirmed_s = self._received_s - age_s
+            known.confirmed_s = self._sent_after_s - age_s
             lists = known.lists
             known.on_list(
                 age.lists, self._received_s - age.listed_ms / MS_PER_S
             )
-            if age_s > MAX_AGE_S or known.lists != lists:
+            is_outdated = self._received_s - known.confirmed_s > MAX_AGE_S
+            if is_outdated or known.lists != lists:
                 known.changed.set()
--- a/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -12,7 +12,7 @@
 
 # Maximum wait of a poll for an urgent kind on a relay. Each response confirms
 # to the followers that the relay still reaches the object API.
-MAX_URGENT_WAIT_S = 1.0
+MAX_URGENT_WAIT_S = 0.8
 # Wait of a poll that only reads existing changes.
 MIN_WAIT_S = 0.001
 
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -384,6 +384,16 @@
         # The relay is abandoned only after 1.2 s.
         await follower.wait_for("later", 0.8)
 
+    async def test_a_slow_link_to_the_relay_does_not_delay_changes(self, pair):
+        """Guards against a relay whose data is old on arrival."""
+        store, relay, follower = pair
+        # The relay stays connected, as no message is missing for long.
+        for _ in range(10):
+            relay.link_delay_s += 0.19
+            await asyncio.sleep(0.3)
+        store.put("later")
+        await follower.wait_for("later", 1.0)
+
     async def test_a_stopped_relay_is_replaced_in_time(self, pair):
         store, relay, follower = pair
         await relay.stop()
