Bound the responses of endpoints on the product's own interface as well

The same class as in the gateway: the client of the product's own interface read a plain response whole without a limit, and used the unbounded connector. Its connector is now the one that the gateway uses, in a module of the endpoints, and a response may have 16 MB.

--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -21,6 +21,7 @@
 from guavalane_core.streams import parse_prompt_usage
 from guavalane_core.timers import Timers
 from guavalane_entry.callers.admission import EndpointLimits
+from guavalane_entry.endpoints.connection import EndpointConnector
 from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_session import make_session
 
@@ -35,6 +36,8 @@
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 MAX_EVENT_BYTES = 1 << 20
+# Largest response of a plain service, which is buffered.
+MAX_BODY_BYTES = 16 << 20
 FORWARDED_ANSWER_HEADERS = ("Content-Type", "Location", "Retry-After")
 
 
@@ -260,7 +263,7 @@
                 data=request.body,
             ) as answer:
                 try:
-                    body = await answer.read()
+                    body = await self._read_body(view, answer)
                 except TimeoutError as error:
                     self._check_timeout(request, started)
                     raise AttemptError(repr(error), sent=True) from None
@@ -469,6 +472,16 @@
                 raise AttemptError("event too large", sent=True)
             stall.on_wait()
 
+    async def _read_body(
+        self, view: EndpointView, answer: aiohttp.ClientResponse
+    ) -> bytes:
+        body = bytearray()
+        async for data in answer.content.iter_any():
+            body += data
+            if len(body) > MAX_BODY_BYTES:
+                raise AttemptError(f"{view.name}: body too large", sent=True)
+        return bytes(body)
+
     async def _read_end(self, answer: aiohttp.ClientResponse) -> None:
         # A connection is reused only if the response body was read to its end.
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
@@ -483,7 +496,7 @@
             # Admission control limits the calls, so the connector does not. An
             # at-most-once call opens a new connection: if the endpoint closed
             # an idle one while the call is sent, its outcome would be unknown.
-            connector = aiohttp.TCPConnector(limit=0, force_close=once)
+            connector = EndpointConnector(limit=0, force_close=once)
             session = make_session(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
             )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from guavalane_core.forwarding import Endpoint
-from guavalane_entry.gateway.endpoint_connection import (
+from guavalane_entry.endpoints.connection import (
     EndpointConnector,
     current_protocol,
 )
--- a/packages/guavalane-entry/tests/test_http_clients.py
+++ b/packages/guavalane-entry/tests/test_http_clients.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+
 import aiohttp.web
 import pytest
 
@@ -155,3 +158,44 @@
         assert len(service.calls) == 1
         await client.close()
         await runner.cleanup()
+
+    @pytest.mark.parametrize(
+        ("start", "block"),
+        [
+            (b"", b"\r\n" * 30_000),
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536),
+        ],
+        ids=["head", "body"],
+    )
+    async def test_an_endless_response_is_broken_off(self, start, block):
+        """Guards against an endpoint that fills the memory of a node."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(block)
+                    await writer.drain()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        timers = LoopTimers()
+        pool = EndpointPool("n", "z", 4, timers)
+        configuration = service_configuration(f"http://127.0.0.1:{port}")
+        pool.apply(configuration)
+        client = EndpointClient(pool, EndpointLimits(pool, timers), timers)
+        request = RequestContext(
+            request_id="id",
+            organisation="o",
+            route_name="r",
+            route=configuration.routes["r"],
+            deadline_s=timers.now() + 20,
+            method="GET",
+            path="/slots",
+        )
+        async with asyncio.timeout(2.0):
+            with pytest.raises(AttemptError):
+                await client.call(pool.choose(request), request)
+        await client.close()
+        server.close()
