Bound the number of routes whose latencies are kept before a move

Routes come and go with configurations, and each had kept its histograms for the life of the process. Private names for two attributes, as elsewhere.

--- a/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -79,7 +79,7 @@
 
     def set_nodes(self, nodes: int) -> None:
         """Sets the number of nodes that draw from the bucket."""
-        self._contention.nodes = nodes
+        self._contention.set_nodes(nodes)
 
     def try_draw(self, units: float, now_s: float) -> float:
         """Draws units if they are available.
--- a/packages/guavalane-core/src/guavalane_core/allotments/contention.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/contention.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self) -> None:
-        self.nodes = 1
+        self._nodes = 1
         self._active = False
         self._credit = 0.0
         self._own_draws = 0.0
@@ -41,6 +41,10 @@
         """Units that this node has earned; negative after a large request."""
         return self._credit
 
+    def set_nodes(self, nodes: int) -> None:
+        """Sets the number of nodes that draw from the bucket."""
+        self._nodes = nodes
+
     def enter(self) -> None:
         """Starts rationing; called when the bucket is exhausted."""
         if not self._active:
@@ -86,5 +90,5 @@
         """
         total = self._all_draws + burst
         if total <= 0:
-            return 1 / self.nodes
-        return (self._own_draws + burst / self.nodes) / total
+            return 1 / self._nodes
+        return (self._own_draws + burst / self._nodes) / total
--- a/packages/guavalane-core/src/guavalane_core/moves/table.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/table.py
@@ -28,6 +28,8 @@
 # Samples of the old version per route above which the baseline is halved, so
 # that it adapts to the load.
 MAX_BASELINE_SAMPLES = 400
+# Routes per service that have a baseline; configurations come and go.
+MAX_BASELINE_ROUTES = 64
 
 
 @attrs.define(eq=False)
@@ -144,12 +146,20 @@
         if tracked is not None:
             is_new = self.is_new(endpoint)
             return tracked.trial.begin(route, is_new=is_new, now_s=now_s)
-        routes = self._baselines.setdefault(endpoint.service, {})
-        counts = routes.setdefault(route, AttemptCounts())
+        counts = self._baseline(endpoint.service, route)
+        return AttemptSample(counts, now_s)
+
+    def _baseline(self, service: str, route: str) -> AttemptCounts:
+        """Returns the counts of a route before a move."""
+        routes = self._baselines.setdefault(service, {})
+        # The route that was used last comes last.
+        counts = routes[route] = routes.pop(route, None) or AttemptCounts()
+        if len(routes) > MAX_BASELINE_ROUTES:
+            del routes[next(iter(routes))]
         if sum(counts.latency) >= MAX_BASELINE_SAMPLES:
             counts.latency[:] = [count // 2 for count in counts.latency]
             counts.gaps[:] = [count // 2 for count in counts.gaps]
-        return AttemptSample(counts, now_s)
+        return counts
 
     def end_attempt(
         self, endpoint: Endpoint, sample: AttemptSample, now_s: float
--- a/packages/guavalane-core/tests/moves/test_table.py
+++ b/packages/guavalane-core/tests/moves/test_table.py
@@ -7,7 +7,7 @@
 import pytest
 
 from guavalane_core.forwarding import MovePhase, VersionMove
-from guavalane_core.moves.table import MoveTable
+from guavalane_core.moves.table import MAX_BASELINE_ROUTES, MoveTable
 from guavalane_standins.forwarding_samples import make_endpoint
 
 # Operators' limit on the fraction of a service's requests that a version under
@@ -159,6 +159,18 @@
         allowed = table.allowed("app", endpoints, 0.5, first=True)
         assert allowed == endpoints
 
+    def test_baselines_of_former_routes_are_dropped(self, table, endpoints):
+        """Guards against memory that grows with each configuration."""
+        for number in range(200):
+            for route in (f"r{number}", "busy"):
+                table.begin_attempt(endpoints[0], route, 0.0).finish(
+                    0.1, failed=False
+                )
+        table.offer(make_move(), 1.0)
+        routes = {c.route for c in table.moves["app"].trial.counts}
+        assert {"busy", "r199"} <= routes
+        assert len(routes) == MAX_BASELINE_ROUTES
+
 
 class TestFollowedMove:
     """Guards against moves that exceed their time or end without evidence."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -83,7 +83,7 @@
     headers: tuple[tuple[str, str], ...]
     response: aiohttp.ClientResponse
     protocol: Any
-    buffers: BodyBuffers = attrs.field(factory=lambda: BodyBuffers())
+    buffers: BodyBuffers = attrs.field(factory=BodyBuffers)
 
     @property
     def framed(self) -> bool:
