Revert "Let nodes earn the level of a rationed allotment as well"

A node sees the level without the draws that others have not reported yet, so it earned units that were gone: test_nodes_do_not_all_draw_the_refill admitted 130,000 units of 57,960, and test_a_partitioned_fleet had 1.003 of the bound.

--- a/packages/guavalane-core/src/guavalane_core/allotments/contention.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/contention.py
@@ -7,9 +7,6 @@
 # Time constant of the average over which a node's part of all draws is
 # measured, in seconds.
 PART_AVERAGE_S = 5.0
-# Time in which the nodes earn the level of the bucket in addition to its inflow,
-# in seconds. Some nodes do not use their part.
-UNCLAIMED_LEVEL_S = 0.5
 # Fraction of the bucket, and of a node's part of it, that has to stay unused
 # before the node may draw from the whole level again.
 RELEASE_FRACTION = 0.5
@@ -77,8 +74,7 @@
         """
         if self._active and level > 0:
             part = self._part(burst)
-            unclaimed = level * elapsed_s / UNCLAIMED_LEVEL_S
-            self._credit += (inflow + unclaimed) * part
+            self._credit += inflow * part
             unused = RELEASE_FRACTION * burst
             if level >= unused and self._credit >= unused * part:
                 self._active = False
