--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -138,7 +138,7 @@
         endpoints: Sequence[Endpoint],
         need: ReplicaNeed,
         now_s: float,
-        unproved: Sequence[Endpoint] | None = None,
+        on_trial: Sequence[Endpoint] | None = None,
     ) -> list[ReplicaOrder]:
         """Returns the orders that are due.
 
@@ -147,15 +147,15 @@
             ones.
           need: Load to carry.
           now_s: Monotonic time in seconds.
-          unproved: Endpoints of another version during a version move; None
+          on_trial: Endpoints of another version during a version move; None
             without a move. Nothing is removed meanwhile.
         """
         self._note_reclaims(endpoints, now_s)
         present = self._count(endpoints)
         needed = max(need.endpoints(), self._expected_endpoints(need))
         targets = self._targets(present, needed, now_s)
-        if unproved is not None:
-            return self._growth_orders(targets, present, unproved, now_s)
+        if on_trial is not None:
+            return self._growth_orders(targets, present, on_trial, now_s)
         orders = []
         for (zone, reclaimable), count in targets.items():
             state = self._state_of(zone, reclaimable)
@@ -170,16 +170,16 @@
         self,
         targets: Mapping[tuple[str, bool], int],
         present: Mapping[tuple[str, bool], int],
-        unproved: Sequence[Endpoint],
+        on_trial: Sequence[Endpoint],
         now_s: float,
     ) -> list[ReplicaOrder]:
         """Returns orders that add endpoints during a version move.
 
         An order states the number of endpoints of both versions, and the
-        platform removes the oldest ones first. An order without the unproved
-        endpoints would remove those that carry the load.
+        platform removes the oldest ones first. An order without those on
+        trial would remove the ones that carry the load.
         """
-        added = self._count(unproved)
+        added = self._count(on_trial)
         orders = []
         for (zone, reclaimable), target in targets.items():
             key, other_key = (zone, reclaimable), (zone, not reclaimable)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -39,16 +39,16 @@
     async def _step_service(self, lease: LeaseHolder, service: Service) -> None:
         view = self._view
         now_s = view.timers.now()
-        proved, unproved = self._endpoints(service)
+        proved, on_trial = self._endpoints(service)
         need = self._need(service, now_s)
         planner = self._planner(service, [e.zone for e in proved])
-        for order in planner.plan(proved, need, now_s, unproved):
+        for order in planner.plan(proved, need, now_s, on_trial):
             await self._order(lease, service, planner, order, need)
 
     def _endpoints(
         self, service: Service
     ) -> tuple[list[Endpoint], list[Endpoint] | None]:
-        """Returns the endpoints that count as capacity, and unproved ones.
+        """Returns the endpoints that count as capacity, and those on trial.
 
         During a version move, the endpoints of the new version do not count as
         capacity, until it is completed. After a rollback they remain for some
@@ -60,11 +60,11 @@
         if move is None or move.move.phase is MovePhase.COMPLETED:
             return endpoints, None
         proved = [e for e in endpoints if not view.moves.is_new(e)]
-        unproved = [e for e in endpoints if view.moves.is_new(e)]
+        on_trial = [e for e in endpoints if view.moves.is_new(e)]
         is_over = move.move.phase is MovePhase.ROLLED_BACK and all(
-            endpoint.leaving for endpoint in unproved
+            endpoint.leaving for endpoint in on_trial
         )
-        return proved, None if is_over else unproved
+        return proved, None if is_over else on_trial
 
     def _need(self, service: Service, now_s: float) -> ReplicaNeed:
         view = self._view
