--- a/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -93,20 +93,19 @@
           are available.
         """
         self._refill(now_s)
+        missing = min(units, self._capacity) - self._own_level
         if self._contention.active:
             available = min(self._own_level, self._contention.credit)
-            missing = min(units, self._capacity) if available <= 0 else 0.0
-        else:
-            missing = min(units, self._capacity) - self._own_level
+            debt = max(0.0, -self._own_level)
+            missing = (
+                0.0 if available > 0 else min(units, self._capacity) + debt
+            )
         if missing <= 0:
             self._add(-units)
             self._contention.add_draw(units, own=True)
             return 0.0
         inflow_per_s = self._rate_per_s * self._share
-        debt = max(0.0, -self._own_level)
-        if inflow_per_s <= 0:
-            return float("inf")
-        return (missing + debt) / inflow_per_s
+        return missing / inflow_per_s if inflow_per_s > 0 else float("inf")
 
     def cap_level(self, level: float, now_s: float) -> None:
         """Lowers the level to the one that another node reports, if lower."""
--- a/packages/guavalane-core/tests/test_allotments.py
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -32,6 +32,12 @@
         assert allotment.try_draw(120, 0.0) == 0
         assert allotment.try_draw(10, 0.5) > 0
 
+    def test_wait_after_an_oversized_request_counts_its_debt_once(self):
+        """Guards against a Retry-After of twice the time."""
+        allotment = SharedAllotment(100.0, 50.0, 0.0)
+        assert allotment.try_draw(120, 0.0) == 0
+        assert allotment.try_draw(10, 0.0) == pytest.approx(0.8)
+
     def test_lowered_limit_applies_immediately(self):
         allotment = SharedAllotment(100.0, 500.0, 0.0)
         allotment.set_limits(10.0, 20.0, 0.0)
