--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -81,6 +81,7 @@
         allotment = self._allotments.get(name)
         if allotment is None:
             return 0.0
+        # Nodes that have reported draws, and this one.
         allotment.set_nodes(len(self._reported) + 1)
         wait_s = allotment.try_draw(units, now_s)
         if wait_s == 0:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -65,7 +65,8 @@
 PEER_TIMEOUT_PERIODS = 4
 # A node without a report for this time, in seconds, or for this number of
 # report periods if that is longer, may draw its share of each allotment unseen.
-# A lost datagram only costs the share of one node.
+# Until then, both sides of a partition draw that share. A lost datagram only
+# costs the share of one node.
 SHARE_TIMEOUT_S = 1.0
 SHARE_TIMEOUT_PERIODS = 2
 # If fewer reports than this fraction of the expected ones arrive within
