--- a/packages/guavalane-core/src/guavalane_core/moves/table.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/table.py
@@ -14,8 +14,8 @@
 from guavalane_core.moves.trial import VersionTrial
 
 # Fraction of the operators' exposure limit that is used. The margin covers
-# repeated requests, which count as well, requests that do not reach the service,
-# and nodes that restart and count their requests anew.
+# repeated requests, which count as well, requests that do not reach the
+# service, and nodes that restart and count their requests anew.
 EXPOSURE_FRACTION = 0.75
 # Largest fraction of requests that a version under trial receives while it uses
 # up the slack, as a multiple of the used exposure limit.
