Log the shared prompt parts of a broken attempt

It now has the parts that other requests can share and the number of events that the endpoint sent, so that a crash can be told from a response that broke midway.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/request.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/request.py
@@ -43,6 +43,11 @@
             return self.max_output_tokens
         return min(self.likely_output_tokens, self.max_output_tokens)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Identifiers of the parts that other requests can share."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def home_part(self) -> str | None:
         """Identifier of the longest shared prefix; None without parts.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -165,10 +165,12 @@
     async def _attempt(self, candidate: Candidate) -> AttemptOutcome:
         view = self._view
         progress = self._progress
+        request = self._request
         endpoint = candidate.endpoint
+        events_before = progress.events
         self._components.log.request(
             "attempt.sent",
-            self._request.request_id,
+            request.request_id,
             endpoint=endpoint.endpoint_id,
             requests=candidate.load.requests,
             prefill_tokens=candidate.load.prefill_tokens,
@@ -202,9 +204,11 @@
             view.ejector.on_failure(endpoint.endpoint_id, self._now())
             self._components.log.request(
                 "attempt.broken",
-                self._request.request_id,
+                request.request_id,
                 endpoint=endpoint.endpoint_id,
                 reason=str(error),
+                received_events=progress.events - events_before,
+                parts=request.prompt.shared_parts if request.prompt else (),
             )
             outcome = AttemptOutcome.BROKEN
         except BaseException:
