Quarantine prompt parts that crash endpoints

Cause: a node kept nothing of what a request did to its endpoint, and told no other node. Each request with the part was forwarded as if it were the first.

Evidence: with the parts in the log, each crash has one attempt that had no output yet, and the same part is at all of them, on all eight nodes. Two sound parts are there as well, so a part counts as sound once it was served, and of parts that always occur together the one furthest back in the prompt is taken.

Change: nodes exchange crashes with the prompt parts present and successes of these parts, and each decides by itself. Three separate crashes without a success put a part in quarantine, which the object API keeps. A suspected prompt is not repeated elsewhere, and a crash under it does not count against a version under trial.

--- a/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
+++ b/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
@@ -5,7 +5,8 @@
 import json
 import re
 import sys
-from collections.abc import Iterable, Iterator, Sequence
+from collections import deque
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -14,6 +15,8 @@
 from guavalane_core.exceptions import GuavalaneError
 
 STANDARD_INPUT = "-"
+# Crashes of endpoints that are remembered for each node.
+MAX_CRASHES = 256
 _DECODER = json.JSONDecoder()
 # Fields that are left out of the list of details of an event.
 _COMMON = frozenset({"node", "event", "request", "time"})
@@ -37,6 +40,8 @@
       endpoints: Last logged event of each endpoint.
       duties: Whether the node held the duties lease.
       stopping: Whether the node was shutting down.
+      quarantines: Start of each prompt part's quarantine.
+      crashes: Last crashes of endpoints that the node has seen.
     """
 
     configuration: int | None = None
@@ -44,6 +49,10 @@
     endpoints: dict[str, dict[str, Any]] = attrs.field(factory=dict)
     duties: bool = False
     stopping: bool = False
+    quarantines: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    crashes: deque[dict[str, Any]] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_CRASHES)
+    )
 
     def apply(self, line: dict[str, Any]) -> None:
         """Applies an event that does not belong to a request."""
@@ -61,6 +70,13 @@
             self.unavailable_since_s.pop(line["kind"], None)
         elif event == "duties.held":
             self.duties = line["held"]
+        elif event == "quarantine.started":
+            self.quarantines[line["part"]] = line
+        elif event == "quarantine.ended":
+            self.quarantines.pop(line["part"], None)
+        elif event == "endpoint.crashed":
+            self.crashes.append(line)
+            self.endpoints[line["endpoint"]] = line
         elif event.startswith("endpoint."):
             self.endpoints[line["endpoint"]] = line
 
@@ -127,6 +143,7 @@
             output += _render_state(node, state, line["time"])
         output.append(_render_line(line, line["time"] - start_s))
         output += _render_endpoint(line, state)
+        output += _render_quarantine(line, states)
     if not output:
         raise UnknownRequestError(
             f"no log line contains request {request_id!r}"
@@ -162,3 +179,31 @@
     return [
         f"            {known['endpoint']}: {status}, told {age_s:.1f} s ago"
     ]
+
+
+def _render_quarantine(
+    line: dict[str, Any], states: Mapping[str, NodeState]
+) -> list[str]:
+    """Renders the evidence against a prompt part, as seen by all nodes."""
+    part = line.get("part")
+    start = states[line["node"]].quarantines.get(part)
+    if start is None:
+        return []
+    age_s = line["time"] - start["time"]
+    lines = [
+        f"            {part}: in quarantine for {age_s:.1f} s after"
+        f" {start['crashes']} crashes ({start['source']})"
+    ]
+    crashes = [
+        crash
+        for state in states.values()
+        for crash in state.crashes
+        if part in crash["parts"]
+    ]
+    for crash in sorted(crashes, key=lambda crash: crash["time"]):
+        crash_age_s = line["time"] - crash["time"]
+        lines.append(
+            f"            {part}: {crash['endpoint']} crashed"
+            f" {crash_age_s:.1f} s ago, seen by {crash['node']}"
+        )
+    return lines
--- a/packages/guavalane-cli/tests/test_explain.py
+++ b/packages/guavalane-cli/tests/test_explain.py
@@ -59,3 +59,27 @@
     def test_unknown_request_raises(self):
         with pytest.raises(UnknownRequestError):
             explain("q-9", LINES)
+
+    def test_shows_the_evidence_against_a_quarantined_part(self):
+        crash = {"parts": ["a", "p-1"]}
+        lines = [
+            line(1.0, "n1", "endpoint.crashed", endpoint="e-1", **crash),
+            line(2.0, "n2", "endpoint.crashed", endpoint="e-2", **crash),
+            line(2.5, "n2", "endpoint.crashed", endpoint="e-3", parts=["a"]),
+            line(
+                3.0,
+                "n1",
+                "quarantine.started",
+                part="p-1",
+                crashes=3,
+                source="told",
+            ),
+            line(5.0, "n1", "request.refused", request="q-1", part="p-1"),
+        ]
+        text = explain("q-1", lines)
+        assert "p-1: in quarantine for 2.0 s after 3 crashes (told)" in text
+        assert "e-1 crashed 4.0 s ago, seen by n1" in text
+        assert "e-2 crashed 3.0 s ago, seen by n2" in text
+        assert "e-3" not in text
+        ended = line(4.0, "n1", "quarantine.ended", part="p-1")
+        assert "in quarantine" not in explain("q-1", [*lines, ended])
--- a/packages/guavalane-core/src/guavalane_core/forwarding/endpoint.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/endpoint.py
@@ -35,3 +35,8 @@
     reclaim_s: float | None = None
     slow_s: float = 0.0
     started_ms: int = 0
+
+    @property
+    def process(self) -> str:
+        """Identifier of the running process, which changes with a restart."""
+        return f"{self.endpoint_id}/{self.started_ms}"
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -20,6 +20,7 @@
     "ConfigFull",
     "ConfigRequest",
     "ConfigSubscribe",
+    "EndpointCrash",
     "EndpointLoad",
     "EndpointWork",
     "Evidence",
@@ -38,9 +39,13 @@
     "MemberUpdate",
     "MoveOutcomes",
     "NodeReport",
+    "PartQuarantine",
+    "PartSuccess",
     "Ping",
     "PingRequest",
     "PrefixUse",
+    "PresentPart",
+    "QuarantineReport",
     "RelayAge",
     "RelayHeartbeat",
     "RelayedBatch",
@@ -983,6 +988,117 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class PresentPart:
+    """Prompt part that was present at a crash.
+
+    Attributes:
+      part: Identifier of the prompt part.
+      position: Position of the part in its prompt.
+    """
+
+    part: str
+    position: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "part": options.Text(),
+        "position": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class EndpointCrash:
+    """Crash of an endpoint process that a node knows of.
+
+    Attributes:
+      process: Endpoint process.
+      age_ms: Time since the crash, in milliseconds.
+      parts: Shared prompt parts that were present.
+    """
+
+    process: str
+    age_ms: int
+    parts: tuple[PresentPart, ...]
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "process": options.Text(),
+        "age_ms": options.Integer(minimum=0),
+        "parts": options.ListOf(options.Section(PresentPart)),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class PartSuccess:
+    """Success of a prompt part that was present at a crash.
+
+    Attributes:
+      part: Identifier of the prompt part.
+      age_ms: Time since the success, in milliseconds.
+    """
+
+    part: str
+    age_ms: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "part": options.Text(),
+        "age_ms": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class PartQuarantine:
+    """Quarantine of a prompt part.
+
+    Attributes:
+      part: Identifier of the prompt part.
+      since_ms: Start of the quarantine, in milliseconds since the epoch.
+      crashes: Crashes that led to it.
+      trials: Requests with the part that were sent since then on purpose.
+      next_trial_ms: Time from which on the next one may be sent, in
+          milliseconds since the epoch.
+    """
+
+    part: str
+    since_ms: int
+    crashes: int
+    trials: int
+    next_trial_ms: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "part": options.Text(),
+        "since_ms": options.Integer(minimum=0),
+        "crashes": options.Integer(minimum=0),
+        "trials": options.Integer(minimum=0),
+        "next_trial_ms": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class QuarantineReport:
+    """Recent quarantines of prompt parts, and the evidence for them.
+
+    Attributes:
+      node: Name of the sender.
+      crashes: Recent crashes that the sender knows of.
+      successes: Latest successes of the parts of these crashes and of
+          quarantined parts.
+      quarantines: Quarantines in force at the sender.
+    """
+
+    node: str
+    crashes: tuple[EndpointCrash, ...]
+    successes: tuple[PartSuccess, ...]
+    quarantines: tuple[PartQuarantine, ...]
+
+    TYPE_ID: ClassVar[int] = 55
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "node": options.Text(),
+        "crashes": options.ListOf(options.Section(EndpointCrash)),
+        "successes": options.ListOf(options.Section(PartSuccess)),
+        "quarantines": options.ListOf(options.Section(PartQuarantine)),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """State that a node reports to the other nodes several times per second.
--- /dev/null
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/__init__.py
@@ -0,0 +1,18 @@
+"""Quarantine of prompt parts that crash endpoints."""
+
+from __future__ import annotations
+
+from guavalane_core.quarantine.evidence import (
+    Crash,
+    CrashCount,
+    CrashEvidence,
+)
+from guavalane_core.quarantine.table import Quarantine, QuarantineTable
+
+__all__ = [
+    "Crash",
+    "CrashCount",
+    "CrashEvidence",
+    "Quarantine",
+    "QuarantineTable",
+]
--- /dev/null
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -0,0 +1,158 @@
+"""Tests of the evidence against prompt parts and of their quarantine."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavalane_core.quarantine import CrashEvidence, QuarantineTable
+from guavalane_core.quarantine.evidence import (
+    MAX_CRASHES,
+    MAX_SUCCESSES,
+    SOUND_PERIOD_S,
+)
+from guavalane_core.quarantine.table import TRIAL_DELAYS_S
+from guavalane_standins.forwarding_samples import make_prompt
+
+WALL_MS = 1_700_000_000_000
+DAY_MS = 86_400_000
+
+
+def in_order(*parts):
+    """Returns the positions of the parts of one prompt."""
+    return {part: position for position, part in enumerate(parts)}
+
+
+def totals(evidence, now_s):
+    """Returns the number of separate crashes by part."""
+    counts = evidence.count_crashes(now_s, ())
+    return {part: count.total for part, count in counts.items()}
+
+
+def add_crashes(table, times_s, parts=("common", "deadly")):
+    """Adds one crash of a new endpoint process for each time."""
+    for at_s in times_s:
+        table.evidence.add_crash(f"e-{at_s}/1", in_order(*parts), at_s)
+
+
+def update(table, now_s):
+    """Evaluates the evidence and returns the newly quarantined parts."""
+    return [q.part_id for q in table.update(now_s, WALL_MS)]
+
+
+class TestCrashEvidence:
+    """Guards against parts that are blamed for the crashes of others."""
+
+    def test_crashes_at_the_same_time_count_once(self):
+        evidence = CrashEvidence()
+        for number in range(200):
+            evidence.add_crash(
+                f"e-{number}/1", in_order("a"), 5.0 + number / 1000
+            )
+        assert totals(evidence, 6.0) == {"a": 1}
+
+    def test_reports_of_the_same_crash_are_merged(self):
+        evidence = CrashEvidence()
+        assert evidence.add_crash("e-1/1", in_order("a"), 5.0)
+        assert evidence.add_crash("e-1/1", in_order("b"), 5.01)
+        assert not evidence.add_crash("e-1/1", in_order("a", "b"), 5.1)
+        assert totals(evidence, 6.0) == {"a": 1, "b": 1}
+
+    def test_a_restarted_endpoint_that_crashes_again_counts_twice(self):
+        evidence = CrashEvidence()
+        evidence.add_crash("e-1/1", in_order("a"), 5.0)
+        evidence.add_crash("e-1/2", in_order("a"), 9.0)
+        assert totals(evidence, 10.0) == {"a": 2}
+
+    @pytest.mark.parametrize("served_s", [-SOUND_PERIOD_S + 6.0, 5.5, 20.0])
+    def test_a_part_that_is_served_is_not_blamed(self, served_s):
+        evidence = CrashEvidence()
+        evidence.add_crash("e-1/1", in_order("a"), 5.0)
+        evidence.add_success("a", served_s)
+        assert totals(evidence, 21.0) == {}
+
+    def test_a_part_can_start_to_crash_endpoints(self):
+        evidence = CrashEvidence()
+        evidence.add_success("a", 0.0)
+        evidence.add_crash("e-1/1", in_order("a"), SOUND_PERIOD_S + 1)
+        assert totals(evidence, SOUND_PERIOD_S + 2) == {"a": 1}
+
+    def test_a_quarantined_part_explains_crashes(self):
+        evidence = CrashEvidence()
+        evidence.add_crash("e-1/1", in_order("a", "deadly"), 5.0)
+        evidence.add_crash("e-2/1", in_order("a"), 6.0)
+        count = evidence.count_crashes(7.0, ["deadly"])["a"]
+        assert (count.total, count.unexplained) == (2, 1)
+
+    def test_memory_is_bounded(self):
+        evidence = CrashEvidence()
+        for number in range(MAX_SUCCESSES + 10):
+            evidence.add_success(f"p-{number}", float(number))
+            evidence.add_crash(
+                f"e-{number}/1", in_order(f"p-{number}"), float(number)
+            )
+        assert len(evidence.crashes) == MAX_CRASHES
+        assert evidence.last_success_s("p-0") < 0
+
+
+class TestQuarantineTable:
+    """Guards against prompts that crash one endpoint after the other."""
+
+    def test_the_third_crash_without_a_success_starts_a_quarantine(self):
+        table = QuarantineTable()
+        table.on_success("common", 0.0)
+        add_crashes(table, [4.0, 5.0])
+        assert update(table, 5.0) == []
+        assert table.is_suspect(make_prompt(context="deadly"))
+        add_crashes(table, [6.0])
+        assert update(table, 6.0) == ["deadly"]
+        assert table.find(make_prompt(context="deadly")).crashes == 3
+        assert table.find(make_prompt(context="sound")) is None
+
+    def test_of_parts_that_occur_together_the_last_is_quarantined(self):
+        """Guards against sound prompts rejected for a part that all share."""
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0, 6.0], ["common", "deadly", "subject"])
+        assert update(table, 6.0) == ["subject"]
+
+    def test_the_first_crash_without_the_quarantined_part_decides(self):
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0, 6.0], ["common", "deadly", "subject"])
+        update(table, 6.0)
+        table.on_success("common", 7.0)
+        add_crashes(table, [8.0], ["common", "deadly", "other"])
+        assert update(table, 8.0) == ["deadly"]
+
+    def test_the_own_part_of_a_request_is_not_considered(self):
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0, 6.0], ["thing-1-own"])
+        update(table, 6.0)
+        assert table.find(make_prompt(context="thing-1")) is None
+
+    def test_a_success_ends_the_quarantine(self):
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0, 6.0], ["a"])
+        update(table, 6.0)
+        assert table.on_success("a", 7.0).part_id == "a"
+        assert not table.quarantines
+        assert update(table, 8.0) == []
+
+    def test_an_outdated_report_does_not_renew_an_ended_quarantine(self):
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0, 6.0], ["a"])
+        (quarantine,) = table.update(6.0, WALL_MS)
+        table.on_success("a", 7.0)
+        assert not table.adopt(quarantine, 8.0, WALL_MS + 2000)
+        assert not table.quarantines
+
+    def test_three_trials_at_most_begin_in_a_day(self):
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0, 6.0], ["a"])
+        (quarantine,) = table.update(6.0, WALL_MS)
+        begun_ms = []
+        while quarantine.next_trial_ms < WALL_MS + 5 * DAY_MS:
+            begun_ms.append(quarantine.next_trial_ms)
+            quarantine = quarantine.begin_trial(quarantine.next_trial_ms)
+        assert begun_ms[0] == WALL_MS + TRIAL_DELAYS_S[0] * 1000
+        for start_ms in begun_ms:
+            window = [t for t in begun_ms if 0 <= t - start_ms < DAY_MS]
+            assert len(window) <= 3
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -12,10 +12,12 @@
     Route,
     Service,
 )
+from guavalane_core.quarantine import Quarantine
 from guavalane_entry.gateway.errors import (
     AllotmentSpentError,
     NoEndpointError,
     NotConfiguredError,
+    QuarantinedError,
     UnknownKeyError,
     UnknownRouteError,
 )
@@ -25,6 +27,9 @@
 UNAVAILABLE_RETRY_S = 0.5
 # Longest Retry-After for an exhausted allotment, in seconds.
 MAX_ALLOTMENT_RETRY_S = 5.0
+# Shortest Retry-After for a quarantined prompt part, in seconds.
+MIN_QUARANTINE_RETRY_S = 5.0
+MS_PER_S = 1000
 # Jitter of Retry-After as a fraction, so that callers do not retry in step.
 RETRY_JITTER = 0.3
 
@@ -39,6 +44,7 @@
       organisation: Organisation that is charged; None on public routes.
       units: Units that it draws from the allotment.
       version: Version of the configuration that was applied.
+      is_trial: Whether it tries a quarantined prompt part on purpose.
     """
 
     route: Route
@@ -46,6 +52,7 @@
     organisation: Organisation | None
     units: int
     version: int
+    is_trial: bool = False
 
     @property
     def is_stream(self) -> bool:
@@ -66,9 +73,27 @@
     return seconds * (1 + RETRY_JITTER * view.rng.random())
 
 
-def admit(view: NodeView, request: CallerRequest) -> AdmittedRequest:
+def make_quarantined_error(
+    view: NodeView, quarantine: Quarantine
+) -> QuarantinedError:
+    """Returns the rejection of a request with a quarantined prompt part."""
+    left_s = quarantine.next_trial_ms / MS_PER_S - view.clock.now()
+    return QuarantinedError(
+        quarantine,
+        with_jitter(view, max(MIN_QUARANTINE_RETRY_S, left_s)),
+    )
+
+
+def admit(
+    view: NodeView, request: CallerRequest, *, is_trial: bool = False
+) -> AdmittedRequest:
     """Admits a request and draws its units from the allotment.
 
+    Args:
+      view: Shared state of the node.
+      request: Request.
+      is_trial: Whether it may contain a quarantined prompt part.
+
     Raises:
       RefusalError: The request is rejected.
     """
@@ -91,6 +116,9 @@
             f"route {route.name} leads to no service",
             with_jitter(view, UNAVAILABLE_RETRY_S),
         )
+    quarantine = view.quarantines.find(request.prompt)
+    if quarantine is not None and not is_trial:
+        raise make_quarantined_error(view, quarantine)
     units = 0
     if organisation is not None:
         units = request_units(organisation, request.prompt)
@@ -106,7 +134,12 @@
                 with_jitter(view, min(wait_s, MAX_ALLOTMENT_RETRY_S)),
             )
     return AdmittedRequest(
-        route, service, organisation, units, table.configuration.version
+        route,
+        service,
+        organisation,
+        units,
+        table.configuration.version,
+        is_trial,
     )
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/components.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/components.py
@@ -5,8 +5,10 @@
 import attrs
 
 from guavalane_entry.gateway.codec import RequestCodec
+from guavalane_entry.gateway.crash_monitor import CrashMonitor
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.endpoint_client import EndpointClient
+from guavalane_entry.gateway.quarantine import QuarantineService
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.metrics import Metrics
 
@@ -21,6 +23,8 @@
       codec: Header codec.
       log: Decision log.
       metrics: Metrics of the node.
+      quarantine: Quarantine of prompt parts that crash endpoints.
+      crash_monitor: Detection of crashed endpoints.
     """
 
     view: NodeView
@@ -28,3 +32,5 @@
     codec: RequestCodec
     log: DecisionLog
     metrics: Metrics
+    quarantine: QuarantineService
+    crash_monitor: CrashMonitor
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
@@ -139,6 +140,22 @@
         await self._repeatable.close()
         await self._non_repeatable.close()
 
+    async def refuses_connections(self, endpoint: Endpoint) -> bool:
+        """Returns whether nothing listens on an endpoint's port.
+
+        It is false if the endpoint does not respond at all.
+        """
+        host, _, port = endpoint.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, OverflowError, TimeoutError, ValueError):
+            return False
+        writer.close()
+        return False
+
     @contextlib.asynccontextmanager
     async def send(
         self,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from guavalane_core.exceptions import RequestError
+from guavalane_core.quarantine import Quarantine
 
 
 class RefusalError(RequestError):
@@ -21,6 +24,11 @@
         super().__init__(message, not_run=True)
         self.retry_after_s = retry_after_s
 
+    @property
+    def log_fields(self) -> dict[str, Any]:
+        """Further fields of the log line of the rejection."""
+        return {}
+
 
 class NotConfiguredError(RefusalError):
     """The node has not received a configuration yet."""
@@ -34,6 +42,29 @@
     code = "no_endpoint"
 
 
+class QuarantinedError(RefusalError):
+    """The prompt has a part that crashes endpoints.
+
+    Attributes:
+      quarantine: Quarantine of that part.
+    """
+
+    code = "prompt_quarantined"
+
+    def __init__(self, quarantine: Quarantine, retry_after_s: float) -> None:
+        super().__init__(
+            f"prompt part {quarantine.part_id} crashed endpoints"
+            f" {quarantine.crashes} times without any success",
+            retry_after_s,
+        )
+        self.quarantine = quarantine
+
+    @property
+    def log_fields(self) -> dict[str, Any]:
+        """Further fields of the log line of the rejection."""
+        return {"part": self.quarantine.part_id}
+
+
 class AllotmentSpentError(RefusalError):
     """The organisation has exhausted its allotment."""
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -12,10 +12,13 @@
     Endpoint,
     decide_next,
 )
+from guavalane_core.moves.samples import AttemptSample
 from guavalane_core.placement import Candidate, Work
+from guavalane_core.quarantine import Quarantine
 from guavalane_entry.gateway.admission import (
     UNAVAILABLE_RETRY_S,
     AdmittedRequest,
+    make_quarantined_error,
     refund,
     with_jitter,
 )
@@ -118,7 +121,7 @@
     async def _attempt_until_final(self) -> AttemptOutcome:
         for _ in range(MAX_ATTEMPTS):
             candidate = self._next_candidate()
-            if candidate is None:
+            if candidate is None or self._find_quarantine() is not None:
                 return AttemptOutcome.NOT_SENT
             endpoint = candidate.endpoint
             outcome = await self._attempt(candidate)
@@ -128,6 +131,12 @@
                 return outcome
         return outcome
 
+    def _find_quarantine(self) -> Quarantine | None:
+        """Returns the quarantine that forbids the next attempt, if any."""
+        if self._admitted.is_trial:
+            return None
+        return self._view.quarantines.find(self._request.prompt)
+
     def _next_candidate(self) -> Candidate | None:
         return select_endpoint(
             self._view,
@@ -142,7 +151,8 @@
         budget = view.retries(self._admitted.service.name)
         decision = decide_next(
             outcome,
-            repeatable=self._admitted.route.repeatable,
+            repeatable=self._admitted.route.repeatable
+            and not view.quarantines.is_suspect(self._request.prompt),
             possibly_run=self._progress.possibly_run,
             runs_left=self._progress.runs < self._admitted.route.max_endpoints,
             retry_budget_left=budget.may_spend(now_s, view.node_count),
@@ -184,6 +194,7 @@
         prefill_tokens = self._prefill_tokens(candidate, now_s)
         work = view.work.start(endpoint.endpoint_id, prefill_tokens)
         view.record_sent(self._admitted.service.name, prefill_tokens)
+        progress.served = False
         if progress.arrivals:
             view.retries(self._admitted.service.name).spend(now_s)
         sample = view.moves.begin_attempt(
@@ -211,6 +222,7 @@
                 parts=request.prompt.shared_parts if request.prompt else (),
             )
             outcome = AttemptOutcome.BROKEN
+            self._check_for_crash(endpoint, sample)
         except BaseException:
             # The deadline passed or the caller disconnected after the request
             # was sent.
@@ -228,13 +240,28 @@
         else:
             progress.possibly_run = True
             progress.runs += 1
+        if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
             sample.finish(
                 self._now(),
                 failed=outcome is not AttemptOutcome.ANSWERED,
                 rejected=400 <= (progress.last_status or 0) < 500,
             )
+        if outcome is AttemptOutcome.ANSWERED:
+            self._components.quarantine.on_served(request.prompt)
         return outcome
 
+    def _check_for_crash(
+        self, endpoint: Endpoint, sample: AttemptSample
+    ) -> None:
+        prompt = self._request.prompt
+        parts = ()
+        if prompt is not None and not self._progress.served:
+            parts = prompt.shared_parts
+        ended_s = self._now()
+        self._components.crash_monitor.on_broken(
+            endpoint, parts, lambda: sample.finish(ended_s, failed=True)
+        )
+
     def _prefill_tokens(self, candidate: Candidate, now_s: float) -> int:
         prompt = self._request.prompt
         if prompt is None:
@@ -296,6 +323,9 @@
         await refuse(self._components, self._request, self._reply, error)
 
     def _make_error(self, outcome: AttemptOutcome) -> RequestError:
+        quarantine = self._find_quarantine()
+        if quarantine is not None and not self._progress.possibly_run:
+            return make_quarantined_error(self._view, quarantine)
         if not self._progress.possibly_run:
             return NoEndpointError(
                 f"no endpoint of {self._admitted.service.name} took the"
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -23,6 +23,7 @@
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.components import GatewayComponents
 from guavalane_entry.gateway.copies import PATH, CopyReader, encode_copy
+from guavalane_entry.gateway.crash_monitor import CrashMonitor
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.duties import (
     DutyContext,
@@ -33,6 +34,8 @@
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.quarantine import QuarantineService
+from guavalane_entry.gateway.quarantine_store import QUARANTINE_KIND
 from guavalane_entry.gateway.registration import NODE_KIND, Registration
 from guavalane_entry.gateway.reports import PeerReports
 from guavalane_entry.gateway.settings import GatewaySettings
@@ -121,8 +124,19 @@
             self._incarnation,
             lambda: self._duties.current_fencing_number(),
             lambda report: self._work_reports.receive(report),
+            lambda report: self._quarantine.receive(report),
         )
         self._endpoint_client = EndpointClient()
+        self._quarantine = QuarantineService(
+            self._view, api, timers, self._log, self._reports.send_to_all
+        )
+        self._crash_monitor = CrashMonitor(
+            self._view,
+            self._endpoint_client,
+            self._quarantine,
+            timers,
+            self._log,
+        )
         codec = RequestCodec(names)
         forwarder = Forwarder(
             GatewayComponents(
@@ -131,6 +145,8 @@
                 codec,
                 self._log,
                 self._metrics,
+                self._quarantine,
+                self._crash_monitor,
             )
         )
         self._callers = CallerListener(
@@ -258,6 +274,8 @@
         for watch in self._watches.values():
             await watch.stop()
         self._reports.stop()
+        await self._crash_monitor.stop()
+        await self._quarantine.stop()
         await self._endpoint_client.close()
         await self._metrics_listener.stop()
         await self._readiness.stop()
@@ -284,6 +302,9 @@
                 "heard": len(self._reports.live_peers()),
             },
             "allotment_drawn_units": lambda: dict(view.allotments.drawn),
+            "quarantined_parts": lambda: {
+                "": len(view.quarantines.quarantines)
+            },
             "duties_fencing_number": lambda: {
                 "": self._duties.current_fencing_number()
             },
@@ -331,6 +352,7 @@
                 move_kind.name,
                 MoveSink(self._view, move_kind.decode, self._log),
             ),
+            "quarantines": (QUARANTINE_KIND, self._quarantine.sink),
         }
         api = RelayedObjectApi(
             self._api,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/problems.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/problems.py
@@ -45,5 +45,6 @@
         code=error.code,
         status=error.status,
         reason=str(error),
+        **getattr(error, "log_fields", {}),
     )
     await reply.send_response(*problem_of(error))
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -16,6 +16,7 @@
     AllotmentReport,
     NodeReport,
     PrefixUse,
+    QuarantineReport,
     ServiceDemand,
     WindowUsage,
     WorkReport,
@@ -48,8 +49,9 @@
 # Allotment reports that a node receives per second at most. They are small and
 # sent only while an allotment is nearly exhausted.
 MAX_ALLOTMENT_REPORTS_PER_S = 300
-# Number of allotment reports per batch.
-ALLOTMENT_BATCH_SIZE = 64
+# Number of datagrams per batch of allotment or quarantine reports, which are
+# small and rare.
+SMALL_BATCH_SIZE = 64
 # Delay of the first report after the start, and interval between its batches,
 # in seconds. Until it hears from peers, a node may draw only its own share of
 # each allotment.
@@ -108,6 +110,7 @@
           the duties, else 0.
       on_work: Called with the load report of a node that uses this one as a
           relay.
+      on_quarantines: Called with the quarantine report of a node.
     """
 
     def __init__(
@@ -118,6 +121,9 @@
         incarnation: int,
         duties: Callable[[], int],
         on_work: Callable[[WorkReport], None] = lambda report: None,
+        on_quarantines: Callable[[QuarantineReport], None] = lambda report: (
+            None
+        ),
     ) -> None:
         self._view = view
         self._timers = timers
@@ -126,6 +132,7 @@
         self._sequence = 0
         self._duties = duties
         self._on_work = on_work
+        self._on_quarantines = on_quarantines
         # By node: latest incarnation and sequence, time of the last report, and
         # fencing number while it holds the duties.
         self._latest_sequences: dict[str, tuple[int, int]] = {}
@@ -135,7 +142,7 @@
         self._configurations: dict[str, int] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._allotments = AllotmentReports(
-            view, timers, incarnation, self._send_allotments
+            view, timers, incarnation, self.send_to_all
         )
 
     async def start(self) -> None:
@@ -194,12 +201,11 @@
         if allotment_period_s(nodes) < report_period_s(nodes):
             self._allotments.send(self._sequence)
 
-    def _send_allotments(self, frame: bytes) -> None:
+    def send_to_all(self, frame: bytes) -> None:
+        """Sends a small frame to all other nodes within a short time."""
         peers = list(self._view.peers)
         self._view.rng.shuffle(peers)
-        self._send_batches(
-            frame, peers, FIRST_BATCH_PERIOD_S, ALLOTMENT_BATCH_SIZE
-        )
+        self._send_batches(frame, peers, FIRST_BATCH_PERIOD_S, SMALL_BATCH_SIZE)
 
     def stop(self) -> None:
         """Sends a final report to all peers and closes the socket."""
@@ -343,6 +349,9 @@
         if isinstance(report, WorkReport):
             self._on_work(report)
             return
+        if isinstance(report, QuarantineReport):
+            self._on_quarantines(report)
+            return
         if isinstance(report, AllotmentReport):
             self._allotments.receive(report)
             return
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -26,6 +26,9 @@
 # multiple of the maximum gap of its route, but not less than the minimum.
 SILENCE_GAP_FACTOR = 3
 MIN_SILENCE_TIMEOUT_S = 1.0
+# A prompt that crashes endpoints does so when its output begins. One that has
+# had output for this long, in seconds, is not blamed for a later crash.
+SERVED_PERIOD_S = 0.5
 MISDIRECTED_REQUEST = 421
 REFUSAL_STATUSES = (408, 421, 429, 503)
 SERVER_ERROR = 500
@@ -162,6 +165,8 @@
             self._progress.events += len(events)
             if self._progress.sample is not None:
                 self._progress.sample.on_events(len(events), now_s)
+            if now_s - first_s >= SERVED_PERIOD_S:
+                self._record_served()
             for event in events:
                 if event.event_id is not None:
                     self._progress.last_event_id = event.event_id
@@ -174,6 +179,11 @@
             rates = self._components.view.rates(self._admitted.service.name)
             rates.on_run(self._now() - first_s)
 
+    def _record_served(self) -> None:
+        if not self._progress.served:
+            self._progress.served = True
+            self._components.quarantine.on_served(self._request.prompt)
+
     def _record_event_times(self, now_s: float, gap_s: float) -> None:
         progress = self._progress
         if progress.first_event_s is None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -17,6 +17,7 @@
 )
 from guavalane_core.moves.table import MoveTable
 from guavalane_core.placement import EngineRates, PrefixDirectory, WorkTable
+from guavalane_core.quarantine import QuarantineTable
 from guavalane_core.routing.ejection import OutlierEjector
 from guavalane_core.timers import Timers
 from guavalane_core.usage import MedianClock, UsageCounts
@@ -56,6 +57,7 @@
         self._usage = UsageCounts(settings.usage_window_s)
         self._peers: dict[str, str] = {}
         self._moves = MoveTable(settings.exposure, settings.exposure_slack)
+        self._quarantines = QuarantineTable()
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
@@ -112,6 +114,11 @@
         """Moves of services to other versions."""
         return self._moves
 
+    @property
+    def quarantines(self) -> QuarantineTable:
+        """Prompt parts in quarantine."""
+        return self._quarantines
+
     @property
     def peers(self) -> dict[str, str]:
         """Addresses of the other nodes by name."""
--- /dev/null
+++ b/packages/guavalane-entry/tests/gateway/test_deadly_prompts.py
@@ -0,0 +1,191 @@
+"""Tests of prompts that crash endpoints, with scripted endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from guavalane_core.forwarding import Delivery, Engine
+from guavalane_standins.forwarding_samples import (
+    make_configuration,
+    make_endpoint,
+    make_route,
+)
+from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
+
+ENGINE = Engine(slots=4, kv_tokens=100_000)
+# Crashes closer together count as one, in seconds.
+CRASH_INTERVAL_S = 0.55
+CRASHES_TO_QUARANTINE = 3
+
+
+def prompt_headers(context):
+    """Returns the headers of a prompt with a context part."""
+    return {
+        NAMES.model: "m",
+        NAMES.token_counts: "1000,50",
+        NAMES.prompt_parts: f"common:250,{context}:500,own:250",
+    }
+
+
+def make_stream_configuration(*, resumable=False):
+    """Returns a configuration with one streaming route."""
+    route = make_route(
+        delivery=Delivery.STREAM,
+        resumable=resumable,
+        max_endpoints=2,
+        timeout_s=5.0,
+    )
+    return make_configuration(route, engine=ENGINE)
+
+
+class CrashingEndpoints:
+    """Endpoints that crash when they begin to answer a deadly prompt.
+
+    Attributes:
+      crashes: Number of crashed endpoints.
+
+    Args:
+      rig: Rig in which they run.
+    """
+
+    def __init__(self, rig):
+        self._rig = rig
+        self._started = 0
+        self.crashes = 0
+
+    async def start(self, count):
+        """Starts endpoints."""
+        for _ in range(count):
+            name = f"e-{self._started}"
+            self._started += 1
+            endpoint = await self._rig.add_endpoint(None, name)
+            endpoint.script = self._make_script(endpoint)
+
+    def _make_script(self, endpoint):
+        async def script(exchange):
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+            lines.append("Transfer-Encoding: chunked")
+            headers = echo_headers(exchange)
+            lines += [f"{name}: {value}" for name, value in headers.items()]
+            await exchange.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+            if "deadly" in exchange.request.header(NAMES.prompt_parts):
+                self.crashes += 1
+                await endpoint.stop()
+                await exchange.reset()
+                return
+            event = b"id: 1\ndata: token-1\n\n"
+            await exchange.send(f"{len(event):x}\r\n".encode() + event)
+            await exchange.send(b"\r\n0\r\n\r\n")
+
+        return script
+
+
+async def call(rig, context):
+    """Sends a request and returns its status, or None if it broke off."""
+    async with rig.call(headers=prompt_headers(context)) as answer:
+        await answer.read()
+        return answer.status
+
+
+async def crash_until_quarantined(rig, endpoints):
+    """Sends deadly requests until their part is in quarantine."""
+    for _ in range(CRASHES_TO_QUARANTINE):
+        await call(rig, "deadly")
+        await asyncio.sleep(CRASH_INTERVAL_S)
+
+
+class TestDeadlyPrompts:
+    """Guards against prompts that crash one endpoint after the other."""
+
+    async def test_few_endpoints_are_crashed_by_the_same_part(self):
+        async with GatewayRig(make_stream_configuration()) as rig:
+            endpoints = CrashingEndpoints(rig)
+            await endpoints.start(12)
+            assert await call(rig, "sound") == 200
+            await crash_until_quarantined(rig, endpoints)
+            for _ in range(6):
+                await call(rig, "deadly")
+            assert endpoints.crashes == CRASHES_TO_QUARANTINE
+
+    async def test_the_caller_is_told_at_once_that_nothing_ran(self):
+        async with GatewayRig(make_stream_configuration()) as rig:
+            endpoints = CrashingEndpoints(rig)
+            await endpoints.start(6)
+            await call(rig, "sound")
+            await crash_until_quarantined(rig, endpoints)
+            headers = prompt_headers("deadly")
+            async with rig.call(headers=headers) as answer:
+                problem = await answer.json(content_type=None)
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) > 30
+            assert problem["code"] == "prompt_quarantined"
+            assert problem["not_run"] is True
+
+    async def test_other_prompts_with_the_same_first_part_are_served(self):
+        async with GatewayRig(make_stream_configuration()) as rig:
+            endpoints = CrashingEndpoints(rig)
+            await endpoints.start(6)
+            await call(rig, "sound")
+            await crash_until_quarantined(rig, endpoints)
+            for number in range(5):
+                assert await call(rig, f"sound-{number}") == 200
+
+    async def test_a_suspected_prompt_is_not_repeated(self):
+        """Guards against one request that crashes several endpoints."""
+        async with GatewayRig(make_stream_configuration(resumable=True)) as rig:
+            endpoints = CrashingEndpoints(rig)
+            await endpoints.start(8)
+            parts = {"common": 0, "deadly": 1}
+            for name in ("gone-1", "gone-2"):
+                rig.quarantine.on_crash(make_endpoint(name), parts)
+                await asyncio.sleep(CRASH_INTERVAL_S)
+            assert await call(rig, "deadly") == 502
+            assert endpoints.crashes == 1
+
+
+class TestCrashMonitor:
+    """Guards against a wrong cause of a response that breaks off."""
+
+    @pytest.fixture
+    async def rig(self):
+        """Running rig without endpoints."""
+        async with GatewayRig(make_stream_configuration()) as rig:
+            yield rig
+
+    async def report(self, rig, endpoint, parts=("common", "deadly")):
+        """Reports a broken response and returns the counted failures."""
+        failures = []
+        rig.crash_monitor.on_broken(endpoint, parts, lambda: failures.append(1))
+        await asyncio.sleep(0.4)
+        return len(failures)
+
+    async def test_a_reset_connection_is_not_a_crash(self, rig):
+        await rig.add_endpoint(None)
+        endpoint = rig.view.directory.get("e-1")
+        assert await self.report(rig, endpoint) == 1
+        assert not rig.view.quarantines.evidence.crashes
+
+    async def test_the_exit_of_a_leaving_endpoint_is_not_a_crash(self, rig):
+        rig.add_unreachable_endpoint("e-1", leaving=True)
+        endpoint = rig.view.directory.get("e-1")
+        assert await self.report(rig, endpoint) == 1
+        assert not rig.view.quarantines.evidence.crashes
+
+    async def test_a_crash_under_a_suspect_is_not_the_versions_fault(self, rig):
+        """Guards against a good version rolled back for a deadly prompt."""
+        counted = []
+        for number in range(4):
+            rig.add_unreachable_endpoint(f"e-{number}")
+            endpoint = rig.view.directory.get(f"e-{number}")
+            counted.append(await self.report(rig, endpoint))
+            await asyncio.sleep(CRASH_INTERVAL_S)
+        assert counted == [1, 0, 0, 0]
+
+    async def test_a_crash_without_a_suspect_is_the_versions_fault(self, rig):
+        for number in range(4):
+            rig.quarantine.on_crash(make_endpoint(f"gone-{number}"), {})
+            rig.add_unreachable_endpoint(f"e-{number}")
+            endpoint = rig.view.directory.get(f"e-{number}")
+            assert await self.report(rig, endpoint, ()) == 1
--- a/packages/guavalane-entry/tests/gateway/test_log_schema.py
+++ b/packages/guavalane-entry/tests/gateway/test_log_schema.py
@@ -6,7 +6,7 @@
 import pathlib
 
 import guavalane_entry
-from guavalane_standins.log_schema import OPTIONAL_FIELDS, load_log_schema
+from guavalane_standins.log_schema import load_log_schema, optional_fields
 
 SOURCES = pathlib.Path(guavalane_entry.__file__).parent
 PACKAGES = ("gateway", "relays")
@@ -58,7 +58,7 @@
         for event in collect_end_events():
             calls[event] = end_fields
         described = {
-            event: set(fields) - OPTIONAL_FIELDS
+            event: set(fields) - optional_fields(event)
             for event, fields in load_log_schema().events.items()
             if event not in WRITER_EVENTS
         }
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -9,14 +9,17 @@
 import aiohttp
 
 from guavalane_core.forwarding import CallerLimits, ForwardingConfiguration
+from guavalane_core.objects import MemoryObjectApi
 from guavalane_core.timers import LoopTimers
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.components import GatewayComponents
+from guavalane_entry.gateway.crash_monitor import CrashMonitor
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.endpoint_client import EndpointClient
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener
 from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.quarantine import QuarantineService
 from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.metrics import Metrics
@@ -79,9 +82,25 @@
         self.log = DecisionLog("n1", timers.wall)
         self.endpoint_client = EndpointClient()
         codec = RequestCodec(NAMES)
+        self.quarantine = QuarantineService(
+            self.view,
+            MemoryObjectApi(),
+            timers,
+            self.log,
+            lambda frame: None,
+        )
+        self.crash_monitor = CrashMonitor(
+            self.view, self.endpoint_client, self.quarantine, timers, self.log
+        )
         self.forwarder = Forwarder(
             GatewayComponents(
-                self.view, self.endpoint_client, codec, self.log, self.metrics
+                self.view,
+                self.endpoint_client,
+                codec,
+                self.log,
+                self.metrics,
+                self.quarantine,
+                self.crash_monitor,
             )
         )
         self.listener = CallerListener(
@@ -101,6 +120,8 @@
         """Stops the listener, the clients and the endpoints."""
         await self.session.close()
         await self.listener.drain(1.0)
+        await self.crash_monitor.stop()
+        await self.quarantine.stop()
         await self.endpoint_client.close()
         for endpoint in self._endpoints:
             await endpoint.stop()
--- a/packages/guavalane-standins/src/guavalane_standins/log_schema.py
+++ b/packages/guavalane-standins/src/guavalane_standins/log_schema.py
@@ -22,8 +22,9 @@
     "object": (dict,),
     "null": (type(None),),
 }
-# Fields of completed requests that are present for streams only.
+# Fields that are present for streams only, or for some rejections only.
 OPTIONAL_FIELDS = frozenset({"first_event_s", "longest_gap_s", "events"})
+OPTIONAL_FIELDS_BY_EVENT = {"request.refused": frozenset({"part"})}
 
 
 @attrs.frozen
@@ -44,9 +45,10 @@
         if event not in self.events:
             return [f"unknown event {event!r}"]
         expected = self.events[event]
+        optional = optional_fields(event)
         mistakes = [
             f"{event}: {name} is missing"
-            for name in expected.keys() - line.keys() - OPTIONAL_FIELDS
+            for name in expected.keys() - line.keys() - optional
         ]
         for name, value in line.items():
             field = expected.get(name) or self.common.get(name)
@@ -59,6 +61,11 @@
         return mistakes
 
 
+def optional_fields(event: str) -> frozenset[str]:
+    """Returns the fields that lines of an event may lack."""
+    return OPTIONAL_FIELDS | OPTIONAL_FIELDS_BY_EVENT.get(event, frozenset())
+
+
 def _has_type(value: Any, names: str | list[str]) -> bool:
     names = [names] if isinstance(names, str) else names
     if isinstance(value, bool):
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -11,6 +11,8 @@
 import sys
 import time
 
+import aiohttp
+
 from guavalane_platform_standins.deployment import (
     ROOT,
     TENANT,
@@ -245,6 +247,61 @@
         assert "settings: Listen" in result.stderr
 
 
+class TestQuarantine:
+    """Guards against a deadly prompt that is forwarded after a restart."""
+
+    SOUND = "common:300,sound:300,own:600"
+    DEADLY = "common:300,deadly:300,own:600"
+    CRASHES = 3
+
+    async def call(self, deployment, number, parts):
+        """Sends a prompt to one of the nodes and returns the status."""
+        node = deployment.nodes[number % len(deployment.nodes)]
+        try:
+            status, _ = await deployment.call(
+                node, "/talk/x", tokens=TOKEN_COUNT, parts=parts
+            )
+        except aiohttp.ClientError:
+            return None
+        return status
+
+    async def test_a_quarantine_outlasts_all_nodes(self):
+        async with Deployment(2) as deployment:
+            endpoints = [
+                await deployment.add_endpoint(f"i-{number}", "llm")
+                for number in range(10)
+            ]
+            for endpoint in endpoints:
+                endpoint.deadly_part = "deadly"
+            await asyncio.sleep(0.3)
+            for number in range(4):
+                assert await self.call(deployment, number, self.SOUND) == 200
+            for number in range(self.CRASHES):
+                await self.call(deployment, number, self.DEADLY)
+                await asyncio.sleep(0.6)
+                for endpoint in endpoints:
+                    if endpoint.crashed:
+                        deployment.store.remove("servers", endpoint.endpoint_id)
+            await wait_for(lambda: deployment.store.names("quarantines"), 2.0)
+            crashed = sum(endpoint.crashed for endpoint in endpoints)
+            for node in deployment.nodes:
+                node.end()
+                node.start()
+            for node in deployment.nodes:
+                await deployment.wait_ready(node)
+            await asyncio.sleep(0.3)
+            for number in range(4):
+                assert await self.call(deployment, number, self.DEADLY) == 503
+                assert await self.call(deployment, number, self.SOUND) == 200
+            assert sum(e.crashed for e in endpoints) == crashed
+            for node in deployment.nodes:
+                await wait_for(
+                    lambda node=node: "quarantine.started" in node.read_log(),
+                    2.0,
+                )
+                assert find_schema_violations(node) == []
+
+
 class TestVersionMoves:
     """Guards against overexposure of a bad version and late moves."""
 
