Keep to the rate limits that endpoints state

Cause: nothing read the header, and each node only sees its own responses.

Evidence: by the logs of all nodes the requests to the limited endpoints are the same before and after the statement.

Change: a limit is told to all nodes and divided equally among a few of them, chosen by hashing, so that parts are not far below one request a second and the sum holds without communication. Other requests go to other endpoints, or are refused at once with the time when there is room. While limits are in force, a limited endpoint counts as the fraction of the load that it takes, and none is removed.

--- a/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
+++ b/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
@@ -41,6 +41,7 @@
       duties: Whether the node held the duties lease.
       stopping: Whether the node was shutting down.
       quarantines: Start of each prompt part's quarantine.
+      limits: Last stated rate limit of each endpoint.
       crashes: Last crashes of endpoints that the node has seen.
     """
 
@@ -50,6 +51,7 @@
     duties: bool = False
     stopping: bool = False
     quarantines: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    limits: dict[str, dict[str, Any]] = attrs.field(factory=dict)
     crashes: deque[dict[str, Any]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_CRASHES)
     )
@@ -74,6 +76,8 @@
             self.quarantines[line["part"]] = line
         elif event == "quarantine.ended":
             self.quarantines.pop(line["part"], None)
+        elif event == "endpoint.limited":
+            self.limits[line["endpoint"]] = line
         elif event == "endpoint.crashed":
             self.crashes.append(line)
             self.endpoints[line["endpoint"]] = line
@@ -144,6 +148,7 @@
         output.append(_render_line(line, line["time"] - start_s))
         output += _render_endpoint(line, state)
         output += _render_quarantine(line, states)
+        output += _render_limits(line, state)
     if not output:
         raise UnknownRequestError(
             f"no log line contains request {request_id!r}"
@@ -207,3 +212,20 @@
             f" {crash_age_s:.1f} s ago, seen by {crash['node']}"
         )
     return lines
+
+
+def _render_limits(line: dict[str, Any], state: NodeState) -> list[str]:
+    """Renders the rate limits that left no endpoint for a request."""
+    lines = []
+    for endpoint, wait_s in line.get("limit_waits_s", {}).items():
+        limit = state.limits.get(endpoint)
+        if limit is None:
+            continue
+        age_s = line["time"] - limit["time"]
+        room = "none for this node" if wait_s is None else f"in {wait_s} s"
+        lines.append(
+            f"            {endpoint}: takes {limit['rate_per_s']} requests/s of"
+            f" all nodes, told {age_s:.1f} s ago by {limit['source']}; room:"
+            f" {room}"
+        )
+    return lines
--- a/packages/guavalane-cli/tests/test_explain.py
+++ b/packages/guavalane-cli/tests/test_explain.py
@@ -83,3 +83,26 @@
         assert "e-3" not in text
         ended = line(4.0, "n1", "quarantine.ended", part="p-1")
         assert "in quarantine" not in explain("q-1", [*lines, ended])
+
+    def test_shows_the_limits_that_left_no_endpoint(self):
+        lines = [
+            line(
+                1.0,
+                "n1",
+                "endpoint.limited",
+                endpoint="e-1",
+                rate_per_s=2.5,
+                source="n2",
+            ),
+            line(
+                3.0,
+                "n1",
+                "request.refused",
+                request="q-1",
+                limit_waits_s={"e-1": None},
+            ),
+        ]
+        assert (
+            "e-1: takes 2.5 requests/s of all nodes, told 2.0 s ago by n2;"
+            " room: none for this node"
+        ) in explain("q-1", lines)
--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -39,6 +39,11 @@
 # Regular endpoints are removed after reclaimable ones have been sufficient for
 # this long.
 REPLACEMENT_HOLD_S = 2.0
+# Capacity that is kept while endpoints limit their rates, as a multiple of the
+# load. Requests arrive unevenly, and a limited endpoint takes no burst.
+LIMITED_CAPACITY_MARGIN = 1.25
+# Lowest rate of an endpoint that is assumed, in requests per second.
+MIN_ENDPOINT_RATE_PER_S = 0.1
 # An ordered endpoint is no longer expected this long after its boot time.
 BOOT_MARGIN_S = 1.5
 
@@ -55,6 +60,8 @@
       endpoint_slots: Number of concurrent requests that one endpoint runs.
       allotted_tokens_per_s: Tokens per second allotted to organisations.
       load_age_s: Time since the first request, in seconds.
+      limited_shortage: Endpoints that are missing because present ones limit
+          their rate.
     """
 
     read_tokens_per_s: float
@@ -63,6 +70,7 @@
     endpoint_slots: int
     allotted_tokens_per_s: float = 0.0
     load_age_s: float = math.inf
+    limited_shortage: int = 0
 
     def endpoints_for(self, read_tokens_per_s: float) -> int:
         """Returns the number of endpoints needed for a prefill rate."""
@@ -73,7 +81,34 @@
         """Returns the number of endpoints that carry the load, at least 1."""
         reading = self.endpoints_for(self.read_tokens_per_s)
         running = self.concurrent / (self.endpoint_slots * SLOT_UTILISATION)
-        return max(1, math.ceil(max(reading, running)))
+        return max(1, math.ceil(max(reading, running))) + self.limited_shortage
+
+
+def count_limited_shortage(
+    endpoints: Sequence[str],
+    limits: Mapping[str, float],
+    needed: int,
+    requests_per_s: float,
+) -> int:
+    """Returns how many endpoints are missing because others are limited.
+
+    A limited endpoint counts as the fraction of the rate that it would have if
+    only the needed number of endpoints carried the load.
+
+    Args:
+      endpoints: Endpoints that accept new requests.
+      limits: Rate limits in force in requests per second, by endpoint.
+      needed: Number of endpoints without a limit that carry the load.
+      requests_per_s: Requests per second.
+    """
+    if not any(endpoint in limits for endpoint in endpoints):
+        return 0
+    endpoint_rate = max(requests_per_s / needed, MIN_ENDPOINT_RATE_PER_S)
+    capacity = sum(
+        min(1.0, limits.get(endpoint, math.inf) / endpoint_rate)
+        for endpoint in endpoints
+    )
+    return max(0, math.ceil(needed * LIMITED_CAPACITY_MARGIN - capacity))
 
 
 @attrs.frozen
@@ -139,6 +174,8 @@
         need: ReplicaNeed,
         now_s: float,
         on_trial: Sequence[Endpoint] | None = None,
+        *,
+        may_remove: bool = True,
     ) -> list[ReplicaOrder]:
         """Returns the orders that are due.
 
@@ -149,13 +186,14 @@
           now_s: Monotonic time in seconds.
           on_trial: Endpoints of another version during a version move; None
             without a move. Nothing is removed meanwhile.
+          may_remove: Whether endpoints may be removed.
         """
         self._note_reclaims(endpoints, now_s)
         present = self._count(endpoints)
         needed = max(need.endpoints(), self._expected_endpoints(need))
         targets = self._targets(present, needed, now_s)
-        if on_trial is not None:
-            return self._growth_orders(targets, present, on_trial, now_s)
+        if on_trial is not None or not may_remove:
+            return self._growth_orders(targets, present, on_trial or (), now_s)
         orders = []
         for (zone, reclaimable), count in targets.items():
             state = self._state_of(zone, reclaimable)
@@ -173,11 +211,11 @@
         on_trial: Sequence[Endpoint],
         now_s: float,
     ) -> list[ReplicaOrder]:
-        """Returns orders that add endpoints during a version move.
+        """Returns orders that only add endpoints.
 
-        An order states the number of endpoints of both versions, and the
-        platform removes the oldest ones first. An order without those on
-        trial would remove the ones that carry the load.
+        During a version move, an order states the number of endpoints of both
+        versions, and the platform removes the oldest ones first. An order
+        without those on trial would remove the ones that carry the load.
         """
         added = self._count(on_trial)
         orders = []
--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -21,6 +21,8 @@
     "ConfigRequest",
     "ConfigSubscribe",
     "EndpointCrash",
+    "EndpointLimit",
+    "EndpointLimitReport",
     "EndpointLoad",
     "EndpointWork",
     "Evidence",
@@ -1099,6 +1101,50 @@
     }
 
 
+@attrs.frozen(kw_only=True)
+class EndpointLimit:
+    """Rate limit that an endpoint stated in a response.
+
+    Attributes:
+      endpoint: Identifier of the endpoint.
+      in_force: Whether the response stated a limit.
+      rate_per_s: Requests per second from all nodes together; 0 without a
+          limit.
+      age_ms: Time since the response, in milliseconds.
+    """
+
+    endpoint: str
+    in_force: bool
+    rate_per_s: float
+    age_ms: int
+
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "endpoint": options.Text(),
+        "in_force": options.Boolean(),
+        "rate_per_s": options.Number(minimum=0),
+        "age_ms": options.Integer(minimum=0),
+    }
+
+
+@attrs.frozen(kw_only=True)
+class EndpointLimitReport:
+    """Rate limits of endpoints, sent when one changes and while any is known.
+
+    Attributes:
+      node: Name of the sender.
+      limits: Latest statement of each endpoint.
+    """
+
+    node: str
+    limits: tuple[EndpointLimit, ...]
+
+    TYPE_ID: ClassVar[int] = 56
+    OPTIONS: ClassVar[dict[str, options.Option]] = {
+        "node": options.Text(),
+        "limits": options.ListOf(options.Section(EndpointLimit)),
+    }
+
+
 @attrs.frozen(kw_only=True)
 class NodeReport:
     """State that a node reports to the other nodes several times per second.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
 from guavalane_core.allotments.ledger import request_units
@@ -15,6 +17,7 @@
 from guavalane_core.quarantine import Quarantine
 from guavalane_entry.gateway.errors import (
     AllotmentSpentError,
+    EndpointsLimitedError,
     NoEndpointError,
     NotConfiguredError,
     QuarantinedError,
@@ -27,6 +30,8 @@
 UNAVAILABLE_RETRY_S = 0.5
 # Longest Retry-After for an exhausted allotment, in seconds.
 MAX_ALLOTMENT_RETRY_S = 5.0
+# Longest Retry-After for limited endpoints, in seconds.
+MAX_LIMIT_RETRY_S = 5.0
 # Shortest Retry-After for a quarantined prompt part, in seconds.
 MIN_QUARANTINE_RETRY_S = 5.0
 MS_PER_S = 1000
@@ -84,6 +89,24 @@
     )
 
 
+def make_limited_error(
+    view: NodeView, waits_s: Mapping[str, float]
+) -> EndpointsLimitedError:
+    """Returns the rejection of a request for which endpoints are limited.
+
+    Args:
+      view: Shared state of the node.
+      waits_s: Time until the limit of each endpoint admits a request of this
+          node in seconds, infinite if it admits none. Another node may then
+          have room.
+    """
+    retry_after_s = UNAVAILABLE_RETRY_S
+    wait_s = min(waits_s.values())
+    if wait_s < MAX_LIMIT_RETRY_S:
+        retry_after_s = max(retry_after_s, wait_s)
+    return EndpointsLimitedError(waits_s, with_jitter(view, retry_after_s))
+
+
 def admit(
     view: NodeView, request: CallerRequest, *, is_trial: bool = False
 ) -> AdmittedRequest:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/components.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/components.py
@@ -8,6 +8,7 @@
 from guavalane_entry.gateway.crash_monitor import CrashMonitor
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.endpoint_client import EndpointClient
+from guavalane_entry.gateway.endpoint_limits import EndpointLimits
 from guavalane_entry.gateway.quarantine import QuarantineService
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.metrics import Metrics
@@ -25,6 +26,7 @@
       metrics: Metrics of the node.
       quarantine: Quarantine of prompt parts that crash endpoints.
       crash_monitor: Detection of crashed endpoints.
+      endpoint_limits: Rate limits that endpoints state.
     """
 
     view: NodeView
@@ -34,3 +36,4 @@
     metrics: Metrics
     quarantine: QuarantineService
     crash_monitor: CrashMonitor
+    endpoint_limits: EndpointLimits
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from typing import Any
 
 from guavalane_core.exceptions import RequestError
@@ -42,6 +44,36 @@
     code = "no_endpoint"
 
 
+class EndpointsLimitedError(RefusalError):
+    """The endpoints have reached the rate limits that they stated.
+
+    Attributes:
+      waits_s: Time until the limit of each endpoint admits a request of this
+          node in seconds, infinite if it admits none.
+    """
+
+    code = "endpoints_limited"
+
+    def __init__(
+        self, waits_s: Mapping[str, float], retry_after_s: float
+    ) -> None:
+        super().__init__(
+            f"{len(waits_s)} endpoints have reached the rate limits that they"
+            " stated, and no other one is free",
+            retry_after_s,
+        )
+        self.waits_s = waits_s
+
+    @property
+    def log_fields(self) -> dict[str, Any]:
+        """Further fields of the log line of the rejection."""
+        waits_s = {
+            name: round(wait_s, 3) if math.isfinite(wait_s) else None
+            for name, wait_s in self.waits_s.items()
+        }
+        return {"limit_waits_s": waits_s}
+
+
 class QuarantinedError(RefusalError):
     """The prompt has a part that crashes endpoints.
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -18,6 +18,7 @@
 from guavalane_entry.gateway.admission import (
     UNAVAILABLE_RETRY_S,
     AdmittedRequest,
+    make_limited_error,
     make_quarantined_error,
     refund,
     with_jitter,
@@ -36,7 +37,7 @@
 from guavalane_entry.gateway.progress import Progress
 from guavalane_entry.gateway.reply import Reply
 from guavalane_entry.gateway.responses import ResponseForwarder
-from guavalane_entry.gateway.selection import select_endpoint
+from guavalane_entry.gateway.selection import limit_waits_s, select_endpoint
 
 # Maximum attempts per request, including those that reached no endpoint.
 MAX_ATTEMPTS = 4
@@ -191,6 +192,7 @@
         progress.last_status = None
         now_s = self._now()
         view.ejector.on_dispatch(endpoint.endpoint_id, now_s)
+        view.endpoint_rates.draw(endpoint.endpoint_id)
         prefill_tokens = self._prefill_tokens(candidate, now_s)
         work = view.work.start(endpoint.endpoint_id, prefill_tokens)
         view.record_sent(self._admitted.service.name, prefill_tokens)
@@ -327,6 +329,9 @@
         if quarantine is not None and not self._progress.possibly_run:
             return make_quarantined_error(self._view, quarantine)
         if not self._progress.possibly_run:
+            waits_s = limit_waits_s(self._view, self._admitted.service)
+            if outcome is AttemptOutcome.NOT_SENT and waits_s:
+                return make_limited_error(self._view, waits_s)
             return NoEndpointError(
                 f"no endpoint of {self._admitted.service.name} took the"
                 f" request ({outcome.value})",
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/names.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/names.py
@@ -34,6 +34,7 @@
       organisation: Organisation of the key, sent to endpoints.
       expected_endpoint: ID of the endpoint that the request is addressed to.
       not_run: Set by an endpoint that has not run and will not run the request.
+      rate_limit: Requests per second that an endpoint takes from all nodes.
       proof: Proof of an endpoint's response, forwarded unchanged.
       model: Name of the model.
       token_counts: Prompt tokens and maximum output tokens, comma-separated.
@@ -50,6 +51,7 @@
     organisation: str = "X-Organisation"
     expected_endpoint: str = "X-Expected-Endpoint"
     not_run: str = "X-Not-Run"
+    rate_limit: str = "X-Rate-Limit"
     proof: str = "X-Answer-Proof"
     model: str = "X-Model"
     token_counts: str = "X-Token-Counts"
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -31,6 +31,7 @@
     MoveOrders,
 )
 from guavalane_entry.gateway.endpoint_client import EndpointClient
+from guavalane_entry.gateway.endpoint_limits import EndpointLimits
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
@@ -125,6 +126,10 @@
             lambda: self._duties.current_fencing_number(),
             lambda report: self._work_reports.receive(report),
             lambda report: self._quarantine.receive(report),
+            lambda report: self._endpoint_limits.receive(report),
+        )
+        self._endpoint_limits = EndpointLimits(
+            self._view, timers, self._log, self._reports.send_to_all
         )
         self._endpoint_client = EndpointClient()
         self._quarantine = QuarantineService(
@@ -147,6 +152,7 @@
                 self._metrics,
                 self._quarantine,
                 self._crash_monitor,
+                self._endpoint_limits,
             )
         )
         self._callers = CallerListener(
@@ -276,6 +282,7 @@
         self._reports.stop()
         await self._crash_monitor.stop()
         await self._quarantine.stop()
+        self._endpoint_limits.stop()
         await self._endpoint_client.close()
         await self._metrics_listener.stop()
         await self._readiness.stop()
@@ -305,6 +312,9 @@
             "quarantined_parts": lambda: {
                 "": len(view.quarantines.quarantines)
             },
+            "endpoint_limit_requests_per_second": lambda: dict(
+                view.endpoint_rates.in_force(self._timers.now())
+            ),
             "duties_fencing_number": lambda: {
                 "": self._duties.current_fencing_number()
             },
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import attrs
+
 from guavalane_core.fleet.replicas import (
     ReplicaNeed,
     ReplicaOrder,
     ReplicaPlanner,
+    count_limited_shortage,
 )
 from guavalane_core.forwarding import Endpoint, MovePhase, Replicas, Service
 from guavalane_core.leases import LeaseHolder
@@ -40,9 +43,17 @@
         view = self._view
         now_s = view.timers.now()
         proved, on_trial = self._endpoints(service)
-        need = self._need(service, now_s)
+        need = self._need(service, proved, now_s)
         planner = self._planner(service, [e.zone for e in proved])
-        for order in planner.plan(proved, need, now_s, on_trial):
+        is_limited = any(
+            endpoint.endpoint_id in view.endpoint_rates.in_force(now_s)
+            for endpoint in proved
+        )
+        # The platform removes the oldest endpoints first, which may be the
+        # ones that take more requests.
+        for order in planner.plan(
+            proved, need, now_s, on_trial, may_remove=not is_limited
+        ):
             await self._order(lease, service, planner, order, need)
 
     def _endpoints(
@@ -66,7 +77,9 @@
         )
         return proved, None if is_over else on_trial
 
-    def _need(self, service: Service, now_s: float) -> ReplicaNeed:
+    def _need(
+        self, service: Service, proved: list[Endpoint], now_s: float
+    ) -> ReplicaNeed:
         view = self._view
         demand = view.demand(service.name)
         rates = demand.update(now_s)
@@ -74,7 +87,7 @@
             view.work.total(endpoint.endpoint_id, now_s).requests
             for endpoint in view.directory.all_endpoints(service.name)
         )
-        return ReplicaNeed(
+        need = ReplicaNeed(
             read_tokens_per_s=rates.read_tokens_per_s,
             concurrent=concurrent,
             endpoint_read_tokens_per_s=view.rates(
@@ -84,6 +97,13 @@
             allotted_tokens_per_s=self._allotted_tokens_per_s(),
             load_age_s=demand.load_age_s(now_s),
         )
+        shortage = count_limited_shortage(
+            [e.endpoint_id for e in proved if not e.leaving],
+            view.endpoint_rates.in_force(now_s),
+            need.endpoints(),
+            rates.requests_per_s,
+        )
+        return attrs.evolve(need, limited_shortage=shortage)
 
     def _allotted_tokens_per_s(self) -> float:
         organisations = self._view.table.configuration.organisations or ()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -14,6 +14,7 @@
 from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
     AllotmentReport,
+    EndpointLimitReport,
     NodeReport,
     PrefixUse,
     QuarantineReport,
@@ -111,6 +112,7 @@
       on_work: Called with the load report of a node that uses this one as a
           relay.
       on_quarantines: Called with the quarantine report of a node.
+      on_limits: Called with a node's report of endpoint limits.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         on_quarantines: Callable[[QuarantineReport], None] = lambda report: (
             None
         ),
+        on_limits: Callable[[EndpointLimitReport], None] = lambda report: None,
     ) -> None:
         self._view = view
         self._timers = timers
@@ -133,6 +136,7 @@
         self._duties = duties
         self._on_work = on_work
         self._on_quarantines = on_quarantines
+        self._on_limits = on_limits
         # By node: latest incarnation and sequence, time of the last report, and
         # fencing number while it holds the duties.
         self._latest_sequences: dict[str, tuple[int, int]] = {}
@@ -352,6 +356,9 @@
         if isinstance(report, QuarantineReport):
             self._on_quarantines(report)
             return
+        if isinstance(report, EndpointLimitReport):
+            self._on_limits(report)
+            return
         if isinstance(report, AllotmentReport):
             self._allotments.receive(report)
             return
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -79,6 +79,12 @@
         named = response.header(names.request_id)
         if named is not None and named != self._request.request_id:
             raise BrokenResponseError("the response has another request ID")
+        if named is not None:
+            self._components.endpoint_limits.on_response(
+                endpoint,
+                response.header(names.rate_limit),
+                has_run=response.header(names.proof) is not None,
+            )
         if response.header(names.not_run) is not None or (
             response.status == MISDIRECTED_REQUEST
         ):
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -56,6 +56,20 @@
     return ranked[0][1] if ranked else None
 
 
+def limit_waits_s(view: NodeView, service: Service) -> dict[str, float]:
+    """Returns the endpoints whose limits admit no request at present.
+
+    Returns:
+      Time until the limit admits a request of this node in seconds, infinite
+      if it admits none, by endpoint.
+    """
+    return {
+        endpoint.endpoint_id: wait_s
+        for endpoint in view.directory.usable(service.name)
+        if (wait_s := view.endpoint_wait_s(endpoint.endpoint_id)) > 0
+    }
+
+
 def _candidates(
     view: NodeView,
     service: Service,
@@ -78,6 +92,7 @@
         for endpoint in allowed
         if endpoint.endpoint_id not in tried
         and _has_connection(view, service, endpoint)
+        and view.endpoint_wait_s(endpoint.endpoint_id) <= 0
     ]
     held = view.ejector.held([e.endpoint_id for e in usable], now_s)
     return [
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -174,6 +174,7 @@
             # longer apply.
             self._view.prefixes.forget(name)
             self._view.ejector.forget(name)
+            self._view.endpoint_rates.forget(name)
         if known is None or known.leaving != endpoint.leaving:
             self._log.event(
                 "endpoint.listed",
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -15,6 +15,7 @@
     RouteTable,
     SharedRetryBudget,
 )
+from guavalane_core.limits.endpoint_rates import EndpointRateLimits
 from guavalane_core.moves.table import MoveTable
 from guavalane_core.placement import EngineRates, PrefixDirectory, WorkTable
 from guavalane_core.quarantine import QuarantineTable
@@ -58,6 +59,7 @@
         self._peers: dict[str, str] = {}
         self._moves = MoveTable(settings.exposure, settings.exposure_slack)
         self._quarantines = QuarantineTable()
+        self._endpoint_rates = EndpointRateLimits(settings.name, rng)
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
@@ -119,6 +121,11 @@
         """Prompt parts in quarantine."""
         return self._quarantines
 
+    @property
+    def endpoint_rates(self) -> EndpointRateLimits:
+        """Rate limits that endpoints stated."""
+        return self._endpoint_rates
+
     @property
     def peers(self) -> dict[str, str]:
         """Addresses of the other nodes by name."""
@@ -144,6 +151,12 @@
         """Number of known nodes, including this one."""
         return len(self.peers) + 1
 
+    def endpoint_wait_s(self, endpoint_id: str) -> float:
+        """Returns the time until an endpoint's limit admits a request."""
+        return self._endpoint_rates.wait_s(
+            endpoint_id, [self.settings.name, *self.peers], self.timers.now()
+        )
+
     def reload(self, settings: GatewaySettings) -> list[str]:
         """Applies changed settings.
 
--- a/packages/guavalane-entry/tests/gateway/test_replica_duty.py
+++ b/packages/guavalane-entry/tests/gateway/test_replica_duty.py
@@ -1,4 +1,4 @@
-"""Tests of the orders of endpoints during a version move."""
+"""Tests of the orders of endpoints by the duty."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
     Service,
     VersionMove,
 )
+from guavalane_core.limits.endpoint_rates import StatedLimit
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.duties import DutyContext, MoveOrders
@@ -84,12 +85,8 @@
             self.start(zone, "v1")
 
 
-class TestOrdersDuringMove:
-    """Guards against orders that take away the version that carries the load.
-
-    The platform counts the endpoints of both versions. An order for fewer
-    drained all those of the old version, and all requests went to the new one.
-    """
+class DutyRig:
+    """Fixtures of tests that run the duty on a node."""
 
     @pytest.fixture
     def timers(self):
@@ -133,12 +130,6 @@
         for work in works:
             view.work.finish(work)
 
-    def order_move(self, node, timers, phase):
-        """Orders a move to a version that starts beside the old one."""
-        view, _, _ = node
-        move = VersionMove("app", "v2", MOVE_S, phase)
-        view.moves.offer(move, timers.now())
-
     async def settle(self, timers, node, requests=1):
         """Starts the old version and lets the number of endpoints settle."""
         view, platform, _ = node
@@ -149,6 +140,20 @@
         await self.run_duty(timers, node, 20.0, requests)
         return platform.serving("v1")
 
+
+class TestOrdersDuringMove(DutyRig):
+    """Guards against orders that take away the version that carries the load.
+
+    The platform counts the endpoints of both versions. An order for fewer
+    drained all those of the old version, and all requests went to the new one.
+    """
+
+    def order_move(self, node, timers, phase):
+        """Orders a move to a version that starts beside the old one."""
+        view, _, _ = node
+        move = VersionMove("app", "v2", MOVE_S, phase)
+        view.moves.offer(move, timers.now())
+
     @pytest.mark.parametrize(
         "phase",
         [MovePhase.ORDERED, MovePhase.RUNNING, MovePhase.ROLLED_BACK],
@@ -200,3 +205,69 @@
         self.order_move(node, timers, MovePhase.ROLLED_BACK)
         await self.run_duty(timers, node, MOVE_S)
         assert platform.serving("v1") < settled
+
+
+class TestOrdersWithLimitedEndpoints(DutyRig):
+    """Guards against orders that take away the endpoints without a limit.
+
+    Endpoints that limit their rate counted as capacity, and the platform
+    drained others, so that one endpoint was left for most requests.
+    """
+
+    REQUESTS_PER_S = 40
+
+    async def run_limited(self, timers, node, limits):
+        """Runs the duty for 15 s while endpoints state limits.
+
+        Args:
+          timers: Manual timers.
+          node: View, platform and duty.
+          limits: Limits in requests per second, by number of the endpoint.
+        """
+        view, platform, _ = node
+        for _ in range(30):
+            for number, rate_per_s in limits.items():
+                endpoint_id = platform.endpoints[number].endpoint_id
+                limit = StatedLimit(rate_per_s, timers.now())
+                view.endpoint_rates.observe(endpoint_id, limit)
+            for _ in range(self.REQUESTS_PER_S // 2):
+                view.record_sent("app", 0)
+            await self.run_duty(timers, node, 0.5, requests=30)
+
+    def unlimited(self, node, limits):
+        """Returns the number of serving endpoints without a limit."""
+        view, platform, _ = node
+        limited = {platform.endpoints[n].endpoint_id for n in limits}
+        usable = view.directory.usable("app")
+        return sum(e.endpoint_id not in limited for e in usable)
+
+    async def test_no_endpoint_is_removed_while_others_are_limited(
+        self, timers, node
+    ):
+        _, _platform, _ = node
+        await self.settle(timers, node, requests=300)
+        limits = dict.fromkeys(range(2), 30.0)
+        before = self.unlimited(node, limits)
+        await self.run_limited(timers, node, limits)
+        assert self.unlimited(node, limits) >= before
+
+    async def test_endpoints_are_ordered_for_limited_ones(self, timers, node):
+        _, platform, _ = node
+        await self.settle(timers, node, requests=30)
+        limits = dict.fromkeys(range(len(platform.endpoints)), 0.5)
+        await self.run_limited(timers, node, limits)
+        assert self.unlimited(node, limits) > 0
+
+    async def test_spare_endpoints_are_removed_after_the_limits(
+        self, timers, node
+    ):
+        view, platform, _ = node
+        await self.settle(timers, node, requests=30)
+        settled = platform.serving("v1")
+        limits = dict.fromkeys(range(len(platform.endpoints)), 0.5)
+        await self.run_limited(timers, node, limits)
+        assert platform.serving("v1") > settled
+        for number in limits:
+            view.endpoint_rates.forget(platform.endpoints[number].endpoint_id)
+        await self.run_duty(timers, node, 30.0, requests=30)
+        assert platform.serving("v1") <= settled + 1
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -16,6 +16,7 @@
 from guavalane_entry.gateway.crash_monitor import CrashMonitor
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.endpoint_client import EndpointClient
+from guavalane_entry.gateway.endpoint_limits import EndpointLimits
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener
 from guavalane_entry.gateway.names import HeaderNames
@@ -92,6 +93,9 @@
         self.crash_monitor = CrashMonitor(
             self.view, self.endpoint_client, self.quarantine, timers, self.log
         )
+        self.endpoint_limits = EndpointLimits(
+            self.view, timers, self.log, lambda frame: None
+        )
         self.forwarder = Forwarder(
             GatewayComponents(
                 self.view,
@@ -101,6 +105,7 @@
                 self.metrics,
                 self.quarantine,
                 self.crash_monitor,
+                self.endpoint_limits,
             )
         )
         self.listener = CallerListener(
@@ -122,6 +127,7 @@
         await self.listener.drain(1.0)
         await self.crash_monitor.stop()
         await self.quarantine.stop()
+        self.endpoint_limits.stop()
         await self.endpoint_client.close()
         for endpoint in self._endpoints:
             await endpoint.stop()
