--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -51,6 +51,19 @@
         assert endpoint.leaving
         assert endpoint.reclaim_s == 0.9
 
+    @pytest.mark.parametrize(
+        "value",
+        [float("inf"), float("-inf"), float("nan"), 10**400, 1e300],
+        ids=["inf", "-inf", "nan", "10**400", "1e300"],
+    )
+    @pytest.mark.parametrize(
+        "key", ["Slots", "ColdRemainingMs", "leaves_ms", "born"]
+    )
+    def test_a_number_that_is_too_large_is_invalid(self, key, value):
+        """Guards against arithmetic errors in the tasks that use it."""
+        with pytest.raises(ConfigurationError):
+            decode_endpoint(stored({**ENTRY, key: value}))
+
     @pytest.mark.parametrize(
         "changes",
         [
