Ignore entries whose address has no valid IP address and port

Cause: any decimal port was accepted. The HTTP client raises ValueError for port 70000 after the attempt has begun, which counted as a request that may have run: its caller got 502 although nothing was sent. An entry of a node with such an address raised in each report, before the nodes after it were sent theirs.

Change: addresses are parsed in one place, which also checks the IP address and the port.

The addresses `a:1` of a test of the list of nodes are IP addresses now; what it checks is the same.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -16,6 +16,7 @@
     EndpointConnector,
     current_protocol,
 )
+from guavalane_entry.gateway.settings import Address
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 
 # Connect timeout in seconds. Endpoints are at most a few milliseconds away, so
@@ -145,13 +146,15 @@
 
         It is false if the endpoint does not respond at all.
         """
-        host, _, port = endpoint.address.rpartition(":")
         try:
+            address = Address.parse(endpoint.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
+                _, writer = await asyncio.open_connection(
+                    address.host, address.port
+                )
         except ConnectionRefusedError:
             return True
-        except (OSError, OverflowError, TimeoutError, ValueError):
+        except (OSError, TimeoutError, ValueError):
             return False
         writer.close()
         return False
@@ -177,7 +180,11 @@
               an HTTP response.
         """
         session = self._repeatable if repeatable else self._non_repeatable
-        url = URL(f"http://{endpoint.address}{target}", encoded=True)
+        try:
+            address = Address.parse(endpoint.address)
+        except ValueError as error:
+            raise NotSentError(repr(error)) from error
+        url = URL(f"http://{address}{target}", encoded=True)
         try:
             response = await session.request(
                 method,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -356,7 +356,7 @@
             ),
             "nodes": (
                 NODE_KIND,
-                PeerSink(self._view, self._registration.renew),
+                PeerSink(self._view, self._registration.renew, self._log),
             ),
             "moves": (
                 move_kind.name,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import attrs
 
+MAX_PORT = 65_535
+
 
 @attrs.frozen
 class Address:
@@ -26,7 +30,11 @@
         """
         host, separator, port = text.rpartition(":")
         if not separator or not host or not port.isdecimal():
-            raise ValueError(f"expected IP:PORT, got {text!r}")
+            raise ValueError(f"expected IP:PORT, got {text!r:.100}")
+        # Ports have at most five digits; longer ones may not be integers.
+        if len(port) > 5 or not 1 <= int(port) <= MAX_PORT:
+            raise ValueError(f"port out of range: {text!r:.100}")
+        ipaddress.ip_address(host)
         return cls(host, int(port))
 
     def __str__(self) -> str:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -14,6 +14,7 @@
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_core.timers import Subscription
 from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindSink
 
@@ -193,11 +194,18 @@
     Args:
       view: Shared state, which is updated.
       on_unlisted: Called when this node is missing from the list.
+      log: Decision log.
     """
 
-    def __init__(self, view: NodeView, on_unlisted: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        view: NodeView,
+        on_unlisted: Callable[[], None],
+        log: DecisionLog,
+    ) -> None:
         self._view = view
         self._on_unlisted = on_unlisted
+        self._log = log
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
@@ -224,9 +232,13 @@
             self._put(stored)
 
     def _put(self, stored: StoredObject) -> None:
+        if stored.name == self._view.settings.name:
+            return
         address = stored.body.get("address")
-        if stored.name != self._view.settings.name and address:
-            self._view.peers[stored.name] = address
+        try:
+            self._view.peers[stored.name] = str(Address.parse(str(address)))
+        except ValueError as error:
+            self._log.event("peer.ignored", peer=stored.name, reason=str(error))
 
 
 class MoveSink(_DecodingSink[VersionMove]):
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -10,6 +10,7 @@
 from guavalane_core.forwarding import Delivery, Organisation
 from guavalane_standins.forwarding_samples import (
     make_configuration,
+    make_endpoint,
     make_route,
 )
 from guavalane_standins.gateway_rig import (
@@ -183,6 +184,18 @@
                 assert answer.status == 200
 
 
+class TestInvalidAddress:
+    """Guards against an odd address that fails requests which never ran."""
+
+    async def test_another_endpoint_takes_the_request(self):
+        async with GatewayRig(make_configuration(make_route())) as rig:
+            odd = make_endpoint("e-0", address="127.0.0.1:70000")
+            rig.view.directory.put(odd)
+            await rig.add_endpoint(answer_with(), "e-9", zone="zone-b")
+            async with rig.call() as answer:
+                assert answer.status == 200
+
+
 class TestAtMostOnce:
     """Guards against running a request twice, such as signing or claims."""
 
--- a/packages/guavalane-entry/tests/gateway/test_node_duty.py
+++ b/packages/guavalane-entry/tests/gateway/test_node_duty.py
@@ -21,6 +21,11 @@
 PEERS = ("n2", "n3", "n4", "n5")
 
 
+def make_log():
+    """Returns a decision log that nobody reads."""
+    return DecisionLog("n1", ManualTimers().wall)
+
+
 class FakeLease:
     """Lease that is always held."""
 
@@ -98,7 +103,7 @@
         api = MemoryObjectApi()
         registration = Registration(api, make_settings(), 1, LoopTimers())
         view = NodeView(make_settings(), LoopTimers(), random.Random(1))
-        sink = PeerSink(view, registration.renew)
+        sink = PeerSink(view, registration.renew, make_log())
         registration.start()
         await asyncio.sleep(0.05)
         stored = await api.get(NODE_KIND, "n1")
@@ -121,13 +126,25 @@
     def test_only_an_object_api_list_triggers_registration(self):
         calls = []
         view = NodeView(make_settings(), ManualTimers(), random.Random(1))
-        sink = PeerSink(view, lambda: calls.append(1))
-        other = StoredObject(NODE_KIND, "n2", "1", {"address": "a:1"})
+        sink = PeerSink(view, lambda: calls.append(1), make_log())
+        other = StoredObject(NODE_KIND, "n2", "1", {"address": "127.0.0.1:1"})
         sink.merge([other])
         assert not calls
         sink.replace_all([other])
         assert calls
-        assert view.peers == {"n2": "a:1"}
+        assert view.peers == {"n2": "127.0.0.1:1"}
+
+    @pytest.mark.parametrize(
+        "address", [None, 7, "", "127.0.0.1", "127.0.0.1:70000", "a/b:80"]
+    )
+    def test_a_node_without_a_valid_address_is_ignored(self, address):
+        """Guards against reports that reach no node after such an entry."""
+        view = NodeView(make_settings(), ManualTimers(), random.Random(1))
+        sink = PeerSink(view, lambda: None, make_log())
+        odd = StoredObject(NODE_KIND, "n2", "1", {"address": address})
+        sound = StoredObject(NODE_KIND, "n3", "1", {"address": "127.0.0.1:1"})
+        sink.replace_all([odd, sound])
+        assert view.peers == {"n3": "127.0.0.1:1"}
 
 
 class TestSettleTime:
