Keep watches running after an unforeseen error

Cause: the task of a watch ended with any error other than those of the object API, and the node then followed no more changes of the kind without a line that says so. A decoder that fails on one object hid all others of the list, and a copy or frame of another node with deeply nested content raised RecursionError.

Change: a decoder's unforeseen error makes that object an ignored one; any other error in a step of a watch is logged with its traceback and followed by a new list.

test_an_unforeseen_error_does_not_end_the_watch and test_a_decoder_that_fails_does_not_hide_other_entries failed before.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
@@ -53,7 +53,12 @@
             )
             for name, version, body, status in cbor2.loads(data)
         ]
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise ValueError(f"not a copy: {error}") from error
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -20,6 +20,8 @@
 
 ConfigurationDecoder = Callable[[StoredObject], ForwardingConfiguration]
 T = TypeVar("T")
+# Longest logged reason for ignoring an object, in characters.
+MAX_REASON_LENGTH = 500
 EndpointDecoder = Callable[[StoredObject], Endpoint]
 MoveDecoder = Callable[[StoredObject], VersionMove]
 
@@ -53,8 +55,12 @@
         try:
             return self._decode(stored)
         except ConfigurationError as error:
-            self._log_ignored(stored.name, str(error))
-            return None
+            reason = str(error)
+        except Exception as error:
+            # A defect of the decoder must not hide the other objects.
+            reason = repr(error)
+        self._log_ignored(stored.name, reason[:MAX_REASON_LENGTH])
+        return None
 
 
 class ConfigurationSink(_DecodingSink[ForwardingConfiguration]):
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -7,6 +7,8 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any
 
+from loguru import logger as log
+
 from guavalane_core.exceptions import ObjectApiError, WatchGapError
 from guavalane_core.objects import (
     ObjectEvent,
@@ -155,6 +157,13 @@
             except ObjectApiError as error:
                 await self._back_off(error)
                 self._version = None
+            except Exception as error:
+                # An object that a decoder fails on must not end the watch.
+                log.opt(exception=error).error(
+                    "watch: step for {} failed", self._kind
+                )
+                await self._back_off(ObjectApiError(repr(error)))
+                self._version = None
 
     async def _step_unless_recovered(self) -> None:
         """Runs a step; in an outage, restarts its call on recovery."""
--- a/packages/guavalane-entry/src/guavalane_entry/relays/frames.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/frames.py
@@ -50,6 +50,11 @@
             )
             for item in message.objects
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise MessageError(f"invalid object: {error}") from None
     return ObjectBatch(events, message.version)
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -100,6 +100,17 @@
 class TestInvalidEntries:
     """Guards against use of endpoints with invalid entries."""
 
+    def test_a_decoder_that_fails_does_not_hide_other_entries(self, harness):
+        def fail_on_odd(stored):
+            if stored.name == "odd":
+                raise RecursionError("too deep")
+            return decode(stored)
+
+        harness.sink._decode = fail_on_odd
+        harness.sink.replace_all([make_stored("odd"), make_stored("e-5")])
+        assert harness.is_used("e-5")
+        assert not harness.is_used("odd")
+
     def test_an_invalid_entry_is_not_used(self, harness):
         broken = StoredObject("endpoints", "e-1", "2", {})
         harness.sink.apply(ObjectEvent(broken, deleted=False))
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -139,6 +139,21 @@
         assert api.lists == 1
         await watch.stop()
 
+    async def test_an_unforeseen_error_does_not_end_the_watch(self):
+        """Guards against a node that follows no more changes."""
+        api = FakeApi()
+        watch, sink = make_watch(api)
+        watch.start()
+        await run_ready_tasks()
+        api.fail(RecursionError("too deep"))
+        await run_ready_tasks()
+        api.error = None
+        api.put("a", {"n": 1})
+        await asyncio.sleep(0.3)
+        assert sink.bodies == {"a": {"n": 1}}
+        assert sink.calls == ["lose", "regain"]
+        await watch.stop()
+
     async def test_a_failed_poll_is_followed_by_a_list(self):
         api = FakeApi()
         timers = ManualTimers()
