Break a stream off when the next endpoint answers with an error

What callers of like systems saw: the text of an error in the middle of a stream, or a stream that ended as if it were whole.

Cause: on a route that streams, every response that is no server error was taken as the continuation of the stream, also when the stream of the first endpoint had been forwarded in part. A 404 with an empty body ended it as complete; a 400 whose body looks like events was written into it. Before the first event, a 400 with another body was taken for a stream that ends within an event, so that its caller got 502.

Change: only a success is read as a stream. After the beginning, another status is a failed attempt; before it, the response is forwarded as it is.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -103,7 +103,12 @@
             or response.status in REFUSAL_STATUSES
         ):
             return await self._handle_failure(endpoint, response)
-        if self._admitted.is_stream:
+        is_success = 200 <= response.status < 300
+        if self._reply.started and not is_success:
+            # The caller has read the head and events of another response.
+            await response.read_whole()
+            return AttemptOutcome.FAILED
+        if self._admitted.is_stream and is_success:
             await self._forward_events(response, work)
         else:
             await self._forward_body(response)
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -207,3 +207,56 @@
                 ) as answer:
                     await answer.read()
             assert sorted(len(e.requests) for e in endpoints) == [0, 0, 0, 6]
+
+
+def answer_error(status, body):
+    """Returns a script that answers with an error of the endpoint."""
+
+    async def script(exchange):
+        await exchange.answer(status, echo_headers(exchange), body)
+
+    return script
+
+
+class TestErrorsOnStreamRoutes:
+    """Guards against an error of an endpoint that looks like a stream."""
+
+    @pytest.mark.parametrize(
+        ("status", "body"),
+        [
+            (400, b'{"error": "bad"}'),
+            (400, b"id: 9\ndata: bad\n\n"),
+            (404, b""),
+            (302, b""),
+        ],
+    )
+    async def test_an_error_after_the_beginning_breaks_the_stream_off(
+        self, status, body
+    ):
+        async with GatewayRig(configuration(resumable=True)) as rig:
+            scripts = [
+                stream(1, 2, complete=False),
+                answer_error(status, body),
+            ]
+            calls = []
+
+            async def script(exchange):
+                calls.append(exchange)
+                await scripts[len(calls) - 1](exchange)
+
+            await rig.add_endpoint(script, "e-1")
+            await rig.add_endpoint(script, "e-2")
+            received = b""
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async with rig.call(headers=STREAM_HEADERS) as answer:
+                    async for data in answer.content.iter_any():
+                        received += data
+            assert received == event(1) + event(2)
+            assert len(calls) == 2
+
+    async def test_an_error_before_the_beginning_is_forwarded(self):
+        async with GatewayRig(configuration(resumable=False)) as rig:
+            await rig.add_endpoint(answer_error(400, b'{"error": "bad"}'))
+            async with rig.call(headers=STREAM_HEADERS) as answer:
+                assert answer.status == 400
+                assert await answer.read() == b'{"error": "bad"}'
