Do not count an error response as a success of the prompt

A response with a status from 400 on ends the request as answered, and its prompt parts counted as served, although no endpoint has begun to write output for them. A part that crashes endpoints would have been cleared by a request that an endpoint refuses to run.

test_an_error_is_no_success_of_the_prompt failed before.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -36,7 +36,10 @@
 from guavalane_entry.gateway.problems import refuse
 from guavalane_entry.gateway.progress import Progress
 from guavalane_entry.gateway.reply import Reply
-from guavalane_entry.gateway.responses import ResponseForwarder
+from guavalane_entry.gateway.responses import (
+    SERVER_ERROR,
+    ResponseForwarder,
+)
 from guavalane_entry.gateway.selection import limit_waits_s, select_endpoint
 
 # Maximum attempts per request, including those that reached no endpoint.
@@ -46,6 +49,7 @@
 RESPONSE_MARGIN_S = 0.02
 # Minimum remaining time for another attempt, in seconds.
 MIN_ATTEMPT_TIME_S = 0.05
+CLIENT_ERROR = 400
 # Lowest priority that engines support.
 MAX_URGENCY = 9
 
@@ -242,13 +246,14 @@
         else:
             progress.possibly_run = True
             progress.runs += 1
+        status = progress.last_status or 0
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED):
             sample.finish(
                 self._now(),
                 failed=outcome is not AttemptOutcome.ANSWERED,
-                rejected=400 <= (progress.last_status or 0) < 500,
+                rejected=CLIENT_ERROR <= status < SERVER_ERROR,
             )
-        if outcome is AttemptOutcome.ANSWERED:
+        if outcome is AttemptOutcome.ANSWERED and status < CLIENT_ERROR:
             self._components.quarantine.on_served(request.prompt)
         return outcome
 
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -260,3 +260,12 @@
             async with rig.call(headers=STREAM_HEADERS) as answer:
                 assert answer.status == 400
                 assert await answer.read() == b'{"error": "bad"}'
+
+    async def test_an_error_is_no_success_of_the_prompt(self):
+        """Guards against a deadly part that counts as served."""
+        async with GatewayRig(configuration(resumable=False)) as rig:
+            await rig.add_endpoint(answer_error(400, b""))
+            async with rig.call(headers=STREAM_HEADERS):
+                pass
+            evidence = rig.view.quarantines.evidence
+            assert evidence.last_success_s("a") < 0
