End a response without a length with a reset when it is broken off

What callers would have seen: a stream or body without a length or chunks that broke off at the endpoint, or was cut by the stop of a node, ended with an ordinary close, which is how a complete one ends.

Cause: the node passes such a response on without a length, as it cannot vouch for its end, and closes the connection in the same way whether it is complete or broken off.

Change: a broken response without a length resets the connection. At the end of the time to stop, the listener breaks responses off itself before it closes connections.

The three tests of broken streams in TestUnframedStreams failed before; the whole one passed.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
@@ -116,7 +118,15 @@
     def abort(self) -> None:
         """Closes the connection, so that the response is seen as truncated."""
         transport = self._request.transport
-        if transport is not None:
+        if transport is None:
+            return
+        if isinstance(self._response, _UnframedResponse):
+            # An ordinary close would mark the end of the body.
+            linger = struct.pack("ii", 1, 0)
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            transport.abort()
+        else:
             transport.close()
 
     def _make(
@@ -187,6 +197,7 @@
         self._unanswered = unanswered
         self._header_since_s: float | None = None
         self._handled = False
+        self._reply: ConnectionReply | None = None
 
     @property
     def busy(self) -> bool:
@@ -213,14 +224,21 @@
         if not self._handled:
             self._unanswered.discard(self)
 
-    def begin_request(self) -> None:
+    def begin_request(self, reply: ConnectionReply) -> None:
         """Records that the header of a request was read."""
         self._handled = True
+        self._reply = reply
         self._header_since_s = None
 
+    def abort_response(self) -> None:
+        """Breaks off the response to the current request, if any."""
+        if self._reply is not None:
+            self._reply.abort()
+
     def end_request(self) -> None:
         """Records that a request was answered."""
         self._handled = False
+        self._reply = None
         self._unanswered.discard(self)
 
     def time_out_header(self) -> None:
@@ -343,6 +361,8 @@
             log.warning(
                 "listener: {} requests unfinished at shutdown", self.active
             )
+            for connection in self._server.connections:
+                connection.abort_response()
         self._sweep.cancel()
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
@@ -354,8 +374,8 @@
                 connection.time_out_header()
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
-        request.protocol.begin_request()
         reply = ConnectionReply(request, lambda: self._closing)
+        request.protocol.begin_request(reply)
         try:
             await self._answer(request, reply)
         finally:
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -12,7 +12,13 @@
     make_configuration,
     make_route,
 )
-from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
+from guavalane_standins.gateway_rig import (
+    HOST,
+    NAMES,
+    GatewayRig,
+    echo_headers,
+    open_connection_to,
+)
 
 ENGINE = Engine(slots=4, kv_tokens=100_000)
 STREAM_HEADERS = {
@@ -269,3 +275,75 @@
                 pass
             evidence = rig.view.quarantines.evidence
             assert evidence.last_success_s("a") < 0
+
+
+class TestUnframedStreams:
+    """Guards against a stream without a length that breaks off unseen."""
+
+    def make_script(self, data, *, is_reset):
+        """Returns a script that sends data without a length."""
+
+        async def script(exchange):
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+            lines += [f"{k}: {v}" for k, v in echo_headers(exchange).items()]
+            await exchange.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+            await exchange.send(data)
+            await asyncio.sleep(0.1)
+            await (exchange.reset() if is_reset else exchange.close())
+
+        return script
+
+    async def read(self, rig):
+        """Sends a request and returns the response body.
+
+        Raises:
+          ConnectionResetError: The connection was reset.
+        """
+        reader, writer = await open_connection_to(rig)
+        lines = ["POST /a/x HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
+        lines.append(f"{NAMES.request_id}: q-1")
+        lines += [f"{k}: {v}" for k, v in STREAM_HEADERS.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Transfer-Encoding" not in head
+            return await reader.read()
+        finally:
+            writer.close()
+
+    async def test_a_whole_stream_is_forwarded(self):
+        data = event(1) + event(2)
+        async with GatewayRig(configuration(resumable=False)) as rig:
+            await rig.add_endpoint(self.make_script(data, is_reset=False))
+            assert await self.read(rig) == data
+
+    @pytest.mark.parametrize(
+        ("data", "is_reset"),
+        [
+            (event(1) + event(2), True),
+            (event(1) + event(2)[:9], False),
+        ],
+    )
+    async def test_a_stream_that_breaks_off_ends_with_a_reset(
+        self, data, is_reset
+    ):
+        async with GatewayRig(configuration(resumable=False)) as rig:
+            await rig.add_endpoint(self.make_script(data, is_reset=is_reset))
+            with pytest.raises(ConnectionResetError):
+                await self.read(rig)
+
+    async def test_a_stream_cut_by_a_stop_ends_with_a_reset(self):
+        async def send_and_wait(exchange):
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+            lines += [f"{k}: {v}" for k, v in echo_headers(exchange).items()]
+            await exchange.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+            await exchange.send(event(1))
+            await exchange.wait_closed_by_peer()
+
+        async with GatewayRig(configuration(resumable=False)) as rig:
+            await rig.add_endpoint(send_and_wait)
+            reading = asyncio.create_task(self.read(rig))
+            await asyncio.sleep(0.2)
+            await rig.listener.drain(0.1)
+            with pytest.raises(ConnectionResetError):
+                await reading
