Close a connection after a response that is not the request's own

Cause: a response with another request's ID and an empty body ends before the node reads its ID, and the HTTP client has then returned the connection to its pool. The response that is due comes later, at the next request, and so on: each request on that connection gets the response of the one before it, and fails.

Change: a response that cannot be used closes its connection in any case.

test_a_late_response_does_not_break_the_next_request failed before: the request after the affected one got 502 as well.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -200,6 +200,7 @@
             raise NotSentError(repr(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise BrokenResponseError(repr(error)) from error
+        protocol = current_protocol.get()
         try:
             yield EndpointResponse(
                 response.status,
@@ -208,9 +209,14 @@
                     for name, value in response.raw_headers
                 ),
                 response,
-                current_protocol.get(),
+                protocol,
                 self._buffers,
             )
+        except BrokenResponseError:
+            # The response may belong to another request, and its connection,
+            # which is back in the pool if the body is empty, is out of step.
+            protocol.close()
+            raise
         finally:
             # Closes the connection unless it was returned to the pool.
             response.close()
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -286,6 +286,24 @@
                 assert answer.status == 502
             assert len(one.requests) + len(two.requests) == 1
 
+    async def test_a_late_response_does_not_break_the_next_request(self):
+        """Guards against a connection that stays out of step."""
+
+        async def answer_late(exchange):
+            if len(endpoint.requests) == 2:
+                stale = {**echo_headers(exchange), NAMES.request_id: "q-1"}
+                await exchange.answer(503, {**stale, NAMES.not_run: "1"})
+                await asyncio.sleep(0.2)
+            await exchange.answer(200, echo_headers(exchange), b"own")
+
+        async with GatewayRig(ONCE) as rig:
+            endpoint = await rig.add_endpoint(answer_late)
+            statuses = []
+            for number in range(1, 5):
+                async with rig.call(request_id=f"q-{number}") as answer:
+                    statuses.append(answer.status)
+            assert statuses == [200, 502, 200, 200]
+
     async def test_a_response_without_a_proof_is_not_forwarded(self):
         async def answer_without_proof(exchange):
             headers = {NAMES.request_id: "q-1"}
