Do not take an earlier refusal for the response to a request

What callers of like systems saw: a faulty endpoint wrote an earlier refusal once more on a kept connection, and a request that it ran was answered as not run, or ran again at another endpoint.

Cause: a response that says that the request has not run was taken as the refusal of this attempt also without the request's ID.

Change: without the ID, a refusal counts on the first request of a connection only, where no earlier response can be late. Otherwise the attempt counts as broken: the request may have run.

test_a_repeated_refusal_is_not_taken_for_a_new_one failed before with 503 instead of 502. A refusal without the ID on a new connection still counts, with a test.

--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/connection.py
@@ -38,9 +38,16 @@
         self._received = 0
         self._interim_responses = 0
         self._body: Any = None
+        self._requests = 0
+
+    @property
+    def is_first_request(self) -> bool:
+        """Whether the connection was not used for an earlier request."""
+        return self._requests == 1
 
     def begin_response(self) -> None:
         """Resets the limits for the response to the next request."""
+        self._requests += 1
         self._received = 0
         self._interim_responses = 0
         self._body = None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -93,6 +93,15 @@
         headers = self.response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
 
+    @property
+    def is_attributable(self) -> bool:
+        """Whether the response belongs to the request even without its ID.
+
+        On a connection that was used before, it may be a late response to an
+        earlier request.
+        """
+        return self.protocol.is_first_request
+
     def header(self, name: str) -> str | None:
         """Returns a header; None if it is missing."""
         return self.response.headers.get(name)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -85,8 +85,10 @@
                 response.header(names.rate_limit),
                 has_run=response.header(names.proof) is not None,
             )
-        if response.header(names.not_run) is not None or (
-            response.status == MISDIRECTED_REQUEST
+        is_attributable = named is not None or response.is_attributable
+        if is_attributable and (
+            response.header(names.not_run) is not None
+            or response.status == MISDIRECTED_REQUEST
         ):
             if response.status == MISDIRECTED_REQUEST:
                 self._components.view.ejector.on_unreachable(
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -286,6 +286,36 @@
                 assert answer.status == 502
             assert len(one.requests) + len(two.requests) == 1
 
+    async def test_a_repeated_refusal_is_not_taken_for_a_new_one(self):
+        """Guards against `not run` for a request that the endpoint runs."""
+
+        async def repeat_refusal(exchange):
+            number = len(endpoint.requests)
+            if number == 1:
+                refusal = {**echo_headers(exchange), NAMES.not_run: "1"}
+                await exchange.answer(503, refusal)
+            else:
+                await exchange.answer(503, {NAMES.not_run: "1"})
+                await exchange.answer(200, echo_headers(exchange), b"ran")
+
+        async with GatewayRig(ONCE) as rig:
+            endpoint = await rig.add_endpoint(repeat_refusal)
+            async with rig.call(request_id="q-1") as answer:
+                assert answer.status == 503
+            async with rig.call(request_id="q-2") as answer:
+                assert answer.status == 502
+            first, second = endpoint.requests
+            assert first.connection == second.connection
+
+    async def test_a_refusal_without_an_id_on_a_new_connection_counts(self):
+        async def refuse(exchange):
+            await exchange.answer(503, {NAMES.not_run: "1"})
+
+        async with GatewayRig(ONCE) as rig:
+            await rig.add_endpoint(refuse)
+            async with rig.call() as answer:
+                assert answer.status == 503
+
     async def test_a_late_response_does_not_break_the_next_request(self):
         """Guards against a connection that stays out of step."""
 
