Do not let an older success end a quarantine

A node that hears of a success from before the quarantine, in a late report, released the part. The success only counts if it is as new as the quarantine.

test_an_older_success_does_not_end_the_quarantine failed before.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/table.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Mapping
 
 import attrs
@@ -60,6 +61,8 @@
     def __init__(self) -> None:
         self._evidence = CrashEvidence()
         self._quarantines: dict[str, Quarantine] = {}
+        # Monotonic start of each quarantine, in seconds.
+        self._since_s: dict[str, float] = {}
         self._suspects: Collection[str] = ()
 
     @property
@@ -109,6 +112,7 @@
             crashes = counts[part].total
             quarantine = Quarantine(part, now_ms, crashes, 0, first_trial_ms)
             self._quarantines[part] = quarantine
+            self._since_s[part] = now_s
             added.append(quarantine)
         self._suspects = {
             part
@@ -140,16 +144,23 @@
         if len(self._quarantines) >= MAX_QUARANTINES:
             return False
         self._quarantines[part] = quarantine
+        self._since_s[part] = since_s
         return True
 
     def on_success(self, part: str, at_s: float) -> Quarantine | None:
-        """Records a success of a part and returns the quarantine it ends."""
+        """Records a success of a part and returns the quarantine it ends.
+
+        A success from before the quarantine does not end it.
+        """
         self._evidence.add_success(part, at_s)
-        return self.release(part) if part in self._quarantines else None
+        if at_s < self._since_s.get(part, math.inf):
+            return None
+        return self.release(part)
 
     def release(self, part: str) -> Quarantine | None:
         """Ends a quarantine and discards the evidence against its part."""
         self._evidence.forget_part(part)
+        self._since_s.pop(part, None)
         return self._quarantines.pop(part, None)
 
 
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -136,6 +136,14 @@
         assert not table.quarantines
         assert update(table, 8.0) == []
 
+    def test_an_older_success_does_not_end_the_quarantine(self):
+        """Guards against a late report that releases a deadly part."""
+        table = QuarantineTable()
+        add_crashes(table, [64.0, 65.0, 66.0], ["a"])
+        update(table, 66.0)
+        assert table.on_success("a", 3.0) is None
+        assert "a" in table.quarantines
+
     def test_an_outdated_report_does_not_renew_an_ended_quarantine(self):
         table = QuarantineTable()
         add_crashes(table, [4.0, 5.0, 6.0], ["a"])
