Let few nodes tell that they have served a part

After a crash every node that had served one of its parts told all others so, 73 reports in a fleet of 74. A node now keeps silent if another one has told the same before its random delay ends; at most 12 of 74 reports are sent in the test.

The timer of reports moves to a class of its own.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Mapping
 
 from guavalane_core.forwarding import Endpoint, Prompt
 from guavalane_core.messages import QuarantineReport, encode
 from guavalane_core.objects import ObjectApi
 from guavalane_core.quarantine import Quarantine
+from guavalane_core.quarantine.evidence import NEVER_S
 from guavalane_core.timers import Subscription, Timers
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.quarantine_messages import (
@@ -20,6 +20,7 @@
     QuarantineSink,
     QuarantineStore,
 )
+from guavalane_entry.gateway.report_timer import ReportTimer
 from guavalane_entry.gateway.view import NodeView
 
 # Delay of a report after a crash, in seconds. Responses of one endpoint break
@@ -32,10 +33,6 @@
 # datagrams can be lost.
 REPETITIONS = 2
 REPETITION_PERIOD_S = 0.25
-# Interval of reports while there is something recent to tell to nodes that
-# start, in seconds, in a fleet of up to `MAX_NODES_AT_BASE_PERIOD` nodes.
-REFRESH_PERIOD_S = 2.0
-MAX_NODES_AT_BASE_PERIOD = 16
 # Longest delay before a node tells that it has served a part, in seconds. The
 # first one to do so spares the others the report.
 MAX_REPLY_DELAY_S = 0.2
@@ -74,11 +71,12 @@
         self._store = QuarantineStore(api, timers, log)
         self._sink = QuarantineSink(self._adopt, self._release_deleted, log)
         self._repetitions_left = 0
-        self._next_send: Subscription | None = None
-        self._next_send_s = math.inf
+        self._report_timer = ReportTimer(view, timers, self._send_report)
         self._next_evaluation: Subscription | None = None
+        # Served parts of crashes that no node has told of yet.
+        self._untold: set[str] = set()
         self._claimed_trials: set[str] = set()
-        self._next_claim_s = -math.inf
+        self._next_claim_s = NEVER_S
 
     @property
     def sink(self) -> QuarantineSink:
@@ -87,9 +85,9 @@
 
     async def stop(self) -> None:
         """Stops reports and pending writes."""
-        for timer in (self._next_send, self._next_evaluation):
-            if timer is not None:
-                timer.cancel()
+        self._report_timer.cancel()
+        if self._next_evaluation is not None:
+            self._next_evaluation.cancel()
         await self._store.stop()
 
     def on_crash(self, endpoint: Endpoint, parts: Mapping[str, int]) -> None:
@@ -103,7 +101,7 @@
         if self._table.evidence.add_crash(endpoint.process, parts, now_s):
             self._evaluate(save_delay_s=0.0)
             self._repetitions_left = REPETITIONS
-            self._send_within(REPORT_DELAY_S)
+            self._report_timer.send_within(REPORT_DELAY_S)
 
     def is_explained(self, endpoint: Endpoint) -> bool:
         """Returns whether a prompt part is suspected of an endpoint's crash."""
@@ -121,7 +119,7 @@
                 self._log_released(ended, "served")
                 self._store.delete(part_id)
                 self._repetitions_left = REPETITIONS
-                self._send_within(REPORT_DELAY_S)
+                self._report_timer.send_within(REPORT_DELAY_S)
 
     def receive(self, report: QuarantineReport) -> None:
         """Applies a report of another node."""
@@ -133,16 +131,18 @@
             ended = self._table.on_success(success.part, at_s)
             if ended is not None:
                 self._log_released(ended, report.node)
-        is_changed = can_reply = False
+        self._untold -= told
+        is_changed = False
         for crash in report.crashes:
             at_s = now_s - crash.age_ms / MS_PER_S
             parts = {present.part: present.position for present in crash.parts}
             if not evidence.add_crash(crash.process, parts, at_s):
                 continue
             is_changed = True
-            can_reply |= any(
-                part not in told and evidence.last_success_s(part) > -math.inf
+            self._untold.update(
+                part
                 for part in parts
+                if part not in told and evidence.last_success_s(part) > NEVER_S
             )
         for message in report.quarantines:
             self._adopt(quarantine_from_message(message))
@@ -150,10 +150,10 @@
             self._next_evaluation = self._timers.call_later(
                 EVALUATION_DELAY_S, self._evaluate_reports
             )
-        if can_reply:
-            self._send_within(self._view.rng.uniform(0, MAX_REPLY_DELAY_S))
-        elif self._next_send is None:
-            self._schedule_refresh()
+        if self._untold:
+            delay_s = self._view.rng.uniform(0, MAX_REPLY_DELAY_S)
+            self._timers.call_later(delay_s, self._reply)
+        self._report_timer.refresh()
 
     def take_trial(self, quarantine: Quarantine) -> bool:
         """Returns whether a request with a quarantined part may be sent.
@@ -189,6 +189,11 @@
     def _now_ms(self) -> int:
         return int(self._view.clock.now() * MS_PER_S)
 
+    def _reply(self) -> None:
+        """Tells of successes unless another node has done so."""
+        if self._untold:
+            self._report_timer.send_within(0.0)
+
     def _evaluate_reports(self) -> None:
         self._next_evaluation = None
         delay_s = self._view.rng.uniform(MIN_SAVE_DELAY_S, MAX_SAVE_DELAY_S)
@@ -210,7 +215,7 @@
             )
         if added:
             self._repetitions_left = REPETITIONS
-            self._send_within(REPORT_DELAY_S)
+            self._report_timer.send_within(REPORT_DELAY_S)
 
     def _unsaved(self, part: str) -> bool:
         is_known = part in self._table.quarantines
@@ -240,22 +245,7 @@
             trials=quarantine.trials,
         )
 
-    def _send_within(self, delay_s: float) -> None:
-        """Schedules a report unless one is due earlier."""
-        at_s = self._timers.now() + delay_s
-        if self._next_send is not None:
-            if self._next_send_s <= at_s:
-                return
-            self._next_send.cancel()
-        self._next_send_s = at_s
-        self._next_send = self._timers.call_later(delay_s, self._send_report)
-
-    def _schedule_refresh(self) -> None:
-        scale = max(1.0, self._view.node_count / MAX_NODES_AT_BASE_PERIOD)
-        self._send_within(REFRESH_PERIOD_S * scale)
-
     def _send_report(self) -> None:
-        self._next_send = None
         report = make_report(
             self._view.settings.name,
             self._table,
@@ -264,9 +254,10 @@
         )
         if report is None:
             return
+        self._untold.clear()
         self._send(encode(report))
         if self._repetitions_left > 0:
             self._repetitions_left -= 1
-            self._send_within(REPETITION_PERIOD_S)
+            self._report_timer.send_within(REPETITION_PERIOD_S)
         else:
-            self._schedule_refresh()
+            self._report_timer.refresh()
--- a/packages/guavalane-entry/tests/gateway/test_quarantine.py
+++ b/packages/guavalane-entry/tests/gateway/test_quarantine.py
@@ -207,6 +207,23 @@
         for node in fleet.nodes.values():
             assert set(node.view.quarantines.quarantines) == {"deadly"}
 
+    async def test_few_nodes_tell_of_the_same_success(self):
+        """Guards against a burst of reports in a large fleet."""
+        fleet = Fleet(74)
+        sound = make_prompt(context="sound")
+        for node in fleet.nodes.values():
+            node.on_served(sound)
+        sent = []
+        for name, node in fleet.nodes.items():
+            node._send = functools.partial(
+                lambda name, send, frame: (sent.append(name), send(frame)),
+                name,
+                node._send,
+            )
+        fleet.crash("n0", sound)
+        await fleet.timers.run_for(1.0)
+        assert len(sent) <= 12
+
     async def test_the_loss_of_a_zone_quarantines_nothing(self):
         fleet = Fleet(8)
         rare = make_prompt(context="rare")
