--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_limits.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_limits.py
@@ -8,17 +8,14 @@
 from guavalane_core.forwarding import Endpoint
 from guavalane_core.limits.endpoint_rates import StatedLimit
 from guavalane_core.messages import EndpointLimit, EndpointLimitReport, encode
-from guavalane_core.timers import Subscription, Timers
+from guavalane_core.timers import Timers
 from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.report_timer import ReportTimer
 from guavalane_entry.gateway.view import NodeView
 
 # Delay of a report after a change, in seconds. Endpoints in need often state
 # their limits at the same time.
 REPORT_DELAY_S = 0.05
-# Interval of reports while limits are in force, in seconds, in a fleet of up to
-# `MAX_NODES_AT_BASE_PERIOD` nodes.
-REFRESH_PERIOD_S = 2.0
-MAX_NODES_AT_BASE_PERIOD = 16
 # Maximum number of limits per report, so that it fits in one datagram.
 MAX_REPORTED_LIMITS = 64
 MS_PER_S = 1000
@@ -46,13 +43,11 @@
         self._timers = timers
         self._log = log
         self._send = send
-        self._next_send: Subscription | None = None
-        self._next_send_s = math.inf
+        self._report_timer = ReportTimer(view, timers, self._send_report)
 
     def stop(self) -> None:
         """Stops sending reports."""
-        if self._next_send is not None:
-            self._next_send.cancel()
+        self._report_timer.cancel()
 
     def on_response(
         self, endpoint: Endpoint, text: str | None, *, has_run: bool
@@ -79,7 +74,7 @@
             return
         limit = StatedLimit(rate_per_s, self._timers.now())
         if self._observe(endpoint.endpoint_id, limit, "response"):
-            self._send_within(REPORT_DELAY_S)
+            self._report_timer.send_within(REPORT_DELAY_S)
 
     def receive(self, report: EndpointLimitReport) -> None:
         """Applies a report of another node."""
@@ -93,7 +88,7 @@
                 ),
                 report.node,
             )
-        self._schedule_refresh()
+        self._report_timer.refresh()
 
     def _observe(
         self, endpoint_id: str, limit: StatedLimit, source: str
@@ -108,22 +103,7 @@
             )
         return is_changed
 
-    def _send_within(self, delay_s: float) -> None:
-        """Schedules a report unless one is due earlier."""
-        at_s = self._timers.now() + delay_s
-        if self._next_send is not None:
-            if self._next_send_s <= at_s:
-                return
-            self._next_send.cancel()
-        self._next_send_s = at_s
-        self._next_send = self._timers.call_later(delay_s, self._send_report)
-
-    def _schedule_refresh(self) -> None:
-        scale = max(1.0, self._view.node_count / MAX_NODES_AT_BASE_PERIOD)
-        self._send_within(REFRESH_PERIOD_S * scale)
-
     def _send_report(self) -> None:
-        self._next_send = None
         now_s = self._timers.now()
         stated = list(self._rates.stated(now_s))
         if not stated:
@@ -140,7 +120,7 @@
         )
         name = self._view.settings.name
         self._send(encode(EndpointLimitReport(node=name, limits=limits)))
-        self._schedule_refresh()
+        self._report_timer.refresh()
 
 
 def _parse_rate(text: str) -> float | None:
