--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -10,6 +10,11 @@
 import attrs
 
 from guavalane_core.forwarding import CallerLimits, MovePhase, VersionMove
+from guavalane_core.messages import (
+    EndpointLimitReport,
+    QuarantineReport,
+    WorkReport,
+)
 from guavalane_core.objects import StatusApi
 from guavalane_core.timers import Timers
 from guavalane_entry.gateway import (  # noqa: F401
@@ -124,9 +129,15 @@
             self._log,
             self._incarnation,
             lambda: self._duties.current_fencing_number(),
-            lambda report: self._work_reports.receive(report),
-            lambda report: self._quarantine.receive(report),
-            lambda report: self._endpoint_limits.receive(report),
+            {
+                WorkReport: lambda report: self._work_reports.receive(report),
+                QuarantineReport: lambda report: self._quarantine.receive(
+                    report
+                ),
+                EndpointLimitReport: lambda report: (
+                    self._endpoint_limits.receive(report)
+                ),
+            },
         )
         self._endpoint_limits = EndpointLimits(
             self._view, timers, self._log, self._reports.send_to_all
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -8,19 +8,17 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 from guavalane_core.exceptions import MessageError
 from guavalane_core.fleet.replica_demand import DemandTotals
 from guavalane_core.messages import (
     AllotmentReport,
-    EndpointLimitReport,
     NodeReport,
     PrefixUse,
-    QuarantineReport,
     ServiceDemand,
     WindowUsage,
-    WorkReport,
     decode,
     encode,
 )
@@ -109,10 +107,8 @@
       incarnation: Incarnation of this process, which increases with each start.
       duties: Function that returns the fencing number while this node holds
           the duties, else 0.
-      on_work: Called with the load report of a node that uses this one as a
-          relay.
-      on_quarantines: Called with the quarantine report of a node.
-      on_limits: Called with a node's report of endpoint limits.
+      handlers: Functions that receive the other kinds of reports, by the class
+          of the message.
     """
 
     def __init__(
@@ -122,11 +118,7 @@
         log: DecisionLog,
         incarnation: int,
         duties: Callable[[], int],
-        on_work: Callable[[WorkReport], None] = lambda report: None,
-        on_quarantines: Callable[[QuarantineReport], None] = lambda report: (
-            None
-        ),
-        on_limits: Callable[[EndpointLimitReport], None] = lambda report: None,
+        handlers: Mapping[type, Callable[[Any], None]] | None = None,
     ) -> None:
         self._view = view
         self._timers = timers
@@ -134,9 +126,7 @@
         self._incarnation = incarnation
         self._sequence = 0
         self._duties = duties
-        self._on_work = on_work
-        self._on_quarantines = on_quarantines
-        self._on_limits = on_limits
+        self._handlers = handlers or {}
         # By node: latest incarnation and sequence, time of the last report, and
         # fencing number while it holds the duties.
         self._latest_sequences: dict[str, tuple[int, int]] = {}
@@ -350,14 +340,9 @@
         except MessageError as error:
             self._log.event("peer.invalid", reason=str(error))
             return
-        if isinstance(report, WorkReport):
-            self._on_work(report)
-            return
-        if isinstance(report, QuarantineReport):
-            self._on_quarantines(report)
-            return
-        if isinstance(report, EndpointLimitReport):
-            self._on_limits(report)
+        handle = self._handlers.get(type(report))
+        if handle is not None:
+            handle(report)
             return
         if isinstance(report, AllotmentReport):
             self._allotments.receive(report)
