--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -260,13 +260,15 @@
     def _check_for_crash(
         self, endpoint: Endpoint, sample: AttemptSample
     ) -> None:
-        prompt = self._request.prompt
-        parts = ()
-        if prompt is not None and not self._progress.served:
-            parts = prompt.shared_parts
         ended_s = self._now()
+        prompt = self._request.prompt
+        if prompt is None:
+            sample.finish(ended_s, failed=True)
+            return
         self._components.crash_monitor.on_broken(
-            endpoint, parts, lambda: sample.finish(ended_s, failed=True)
+            endpoint,
+            () if self._progress.served else prompt.shared_parts,
+            lambda: sample.finish(ended_s, failed=True),
         )
 
     def _prefill_tokens(self, candidate: Candidate, now_s: float) -> int:
