Report the parts of the answered request first

The number of parts of a crash that are kept is limited. With many requests waiting at an endpoint, the part of the one whose response had begun could be left out. It comes first now; fewer crashes with fewer parts are kept, and the quarantine is checked before an endpoint is chosen for a repeated attempt, as the choice counts for a version move. A failed check no longer keeps later crashes of the endpoint from being checked.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/crash_monitor.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/crash_monitor.py
@@ -67,6 +67,8 @@
         endpoint: Endpoint,
         parts: Sequence[str],
         count_failure: Callable[[], None],
+        *,
+        has_head: bool = True,
     ) -> None:
         """Checks an endpoint whose response broke off.
 
@@ -76,6 +78,8 @@
               was about to answer it; empty if it had sent output for a while.
           count_failure: Counts the failure against the endpoint's version. It
               is not called if a prompt part is suspected of the crash.
+          has_head: Whether the head of the response has arrived. The number of
+              parts that are kept is limited, and those come first.
         """
         process = endpoint.process
         if process not in self._broken:
@@ -83,13 +87,20 @@
             task = asyncio.create_task(self._check(endpoint))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        for position, part in enumerate(parts):
-            self._broken[process].parts.setdefault(part, position)
-        self._broken[process].failures.append(count_failure)
+        broken = self._broken[process]
+        added = {part: position for position, part in enumerate(parts)}
+        if has_head:
+            broken.parts = added | broken.parts
+        else:
+            broken.parts |= added
+        broken.failures.append(count_failure)
 
     async def _check(self, endpoint: Endpoint) -> None:
-        has_crashed = await self._has_crashed(endpoint)
-        broken = self._broken.pop(endpoint.process)
+        has_crashed = False
+        try:
+            has_crashed = await self._has_crashed(endpoint)
+        finally:
+            broken = self._broken.pop(endpoint.process)
         is_suspected = False
         if has_crashed:
             self._log.event(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -125,8 +125,10 @@
 
     async def _attempt_until_final(self) -> AttemptOutcome:
         for _ in range(MAX_ATTEMPTS):
+            if self._find_quarantine() is not None:
+                return AttemptOutcome.NOT_SENT
             candidate = self._next_candidate()
-            if candidate is None or self._find_quarantine() is not None:
+            if candidate is None:
                 return AttemptOutcome.NOT_SENT
             endpoint = candidate.endpoint
             outcome = await self._attempt(candidate)
@@ -269,6 +271,7 @@
             endpoint,
             () if self._progress.served else prompt.shared_parts,
             lambda: sample.finish(ended_s, failed=True),
+            has_head=self._progress.last_status is not None,
         )
 
     def _prefill_tokens(self, candidate: Candidate, now_s: float) -> int:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_messages.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_messages.py
@@ -19,10 +19,10 @@
 # Age up to which crashes and quarantines are reported, in seconds. Older
 # quarantines are read from the object API.
 REPORTED_AGE_S = 60.0
-# Maximum number of crashes and quarantines per report, so that it fits in one
-# datagram.
+# Maximum number of crashes, of their parts and of quarantines per report, so
+# that it fits in one datagram.
 MAX_REPORTED_CRASHES = 8
-MAX_REPORTED_PARTS = 24
+MAX_REPORTED_PARTS = 160
 MAX_REPORTED_QUARANTINES = 16
 MS_PER_S = 1000
 _BODY_FIELDS = ("since_ms", "crashes", "trials", "next_trial_ms")
@@ -41,17 +41,20 @@
     """
     evidence = table.evidence
     crashes = []
+    parts_left = MAX_REPORTED_PARTS
     for crash in evidence.recent_crashes(now_s - REPORTED_AGE_S):
-        if len(crashes) == MAX_REPORTED_CRASHES:
+        if len(crashes) == MAX_REPORTED_CRASHES or not parts_left:
             break
+        parts = [
+            PresentPart(part=part, position=position)
+            for part, position in crash.parts.items()
+        ][:parts_left]
+        parts_left -= len(parts)
         crashes.append(
             EndpointCrash(
                 process=crash.process,
                 age_ms=_age_ms(now_s, crash.at_s),
-                parts=tuple(
-                    PresentPart(part=part, position=position)
-                    for part, position in crash.parts.items()
-                )[:MAX_REPORTED_PARTS],
+                parts=tuple(parts),
             )
         )
     quarantines = [
--- a/packages/guavalane-entry/tests/gateway/test_deadly_prompts.py
+++ b/packages/guavalane-entry/tests/gateway/test_deadly_prompts.py
@@ -173,6 +173,19 @@
         assert await self.report(rig, endpoint) == 1
         assert not rig.view.quarantines.evidence.crashes
 
+    async def test_what_was_being_answered_is_reported_first(self, rig):
+        """Guards against a deadly part lost among those of waiting requests."""
+        rig.add_unreachable_endpoint("e-1")
+        endpoint = rig.view.directory.get("e-1")
+        for number in range(40):
+            waiting = (f"a-{number}", f"b-{number}")
+            rig.crash_monitor.on_broken(
+                endpoint, waiting, lambda: None, has_head=False
+            )
+        assert await self.report(rig, endpoint) == 1
+        (crash,) = rig.view.quarantines.evidence.crashes
+        assert list(crash.parts)[:2] == ["common", "deadly"]
+
     async def test_a_crash_under_a_suspect_is_not_the_versions_fault(self, rig):
         """Guards against a good version rolled back for a deadly prompt."""
         counted = []
