Evaluate the evidence also while the quarantines are full

With 256 quarantines the evaluation raised UnboundLocalError, as its counts are made in a loop that then does not run. test_the_number_of_quarantines_is_bounded failed before.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/table.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/table.py
@@ -103,8 +103,8 @@
           now_ms: Time of day in milliseconds since the epoch.
         """
         added = []
+        counts = self._evidence.count_crashes(now_s, self._quarantines)
         while len(self._quarantines) < MAX_QUARANTINES:
-            counts = self._evidence.count_crashes(now_s, self._quarantines)
             part = _most_specific(counts)
             if part is None:
                 break
@@ -114,6 +114,7 @@
             self._quarantines[part] = quarantine
             self._since_s[part] = now_s
             added.append(quarantine)
+            counts = self._evidence.count_crashes(now_s, self._quarantines)
         self._suspects = {
             part
             for part, count in counts.items()
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -10,7 +10,7 @@
     MAX_SUCCESSES,
     SOUND_PERIOD_S,
 )
-from guavalane_core.quarantine.table import TRIAL_DELAYS_S
+from guavalane_core.quarantine.table import MAX_QUARANTINES, TRIAL_DELAYS_S
 from guavalane_standins.forwarding_samples import make_prompt
 
 WALL_MS = 1_700_000_000_000
@@ -128,6 +128,17 @@
         update(table, 6.0)
         assert table.find(make_prompt(context="thing-1")) is None
 
+    def test_the_number_of_quarantines_is_bounded(self):
+        table = QuarantineTable()
+        for at_s in (4.0, 5.0, 6.0):
+            for number in range(5):
+                parts = {f"p-{number}-{n}": 0 for n in range(60)}
+                process = f"e-{at_s}-{number}/1"
+                table.evidence.add_crash(process, parts, at_s)
+        for _ in range(2):
+            table.update(6.0, WALL_MS)
+            assert len(table.quarantines) <= MAX_QUARANTINES
+
     def test_a_success_ends_the_quarantine(self):
         table = QuarantineTable()
         add_crashes(table, [4.0, 5.0, 6.0], ["a"])
