Do not suspect a part that was served since

A part with two crashes stayed a suspect after a success, until the next evaluation of the evidence, and requests with it were not repeated at another endpoint. test_a_part_that_is_served_is_no_suspect failed before.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/table.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/table.py
@@ -63,7 +63,7 @@
         self._quarantines: dict[str, Quarantine] = {}
         # Monotonic start of each quarantine, in seconds.
         self._since_s: dict[str, float] = {}
-        self._suspects: Collection[str] = ()
+        self._suspects: set[str] = set()
 
     @property
     def evidence(self) -> CrashEvidence:
@@ -158,6 +158,7 @@
         A success from before the quarantine does not end it.
         """
         self._evidence.add_success(part, at_s)
+        self._suspects.discard(part)
         if at_s < self._since_s.get(part, math.inf):
             return None
         return self.release(part, at_s)
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -128,6 +128,15 @@
         update(table, 6.0)
         assert table.find(make_prompt(context="thing-1")) is None
 
+    def test_a_part_that_is_served_is_no_suspect(self):
+        """Guards against sound requests that are not repeated."""
+        table = QuarantineTable()
+        add_crashes(table, [4.0, 5.0])
+        update(table, 5.0)
+        for part in ("common", "deadly"):
+            table.on_success(part, 6.0)
+        assert not table.is_suspect(make_prompt(context="deadly"))
+
     def test_the_number_of_quarantines_is_bounded(self):
         table = QuarantineTable()
         for at_s in (4.0, 5.0, 6.0):
