Look up the nodes only for endpoints that have a limit

The list of all nodes was made for each endpoint in each choice of one, and the limits in force for each endpoint in each step of the planner. No change of behaviour.

--- a/packages/guavalane-core/src/guavalane_core/limits/endpoint_rates.py
+++ b/packages/guavalane-core/src/guavalane_core/limits/endpoint_rates.py
@@ -158,6 +158,11 @@
             if limit.rate_per_s is not None
         }
 
+    def has_limit(self, endpoint: str) -> bool:
+        """Returns whether the latest statement of an endpoint was a limit."""
+        limit = self._stated.get(endpoint)
+        return limit is not None and limit.rate_per_s is not None
+
     def wait_s(
         self, endpoint: str, nodes: Collection[str], now_s: float
     ) -> float:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -45,10 +45,8 @@
         proved, on_trial = self._endpoints(service)
         need = self._need(service, proved, now_s)
         planner = self._planner(service, [e.zone for e in proved])
-        is_limited = any(
-            endpoint.endpoint_id in view.endpoint_rates.in_force(now_s)
-            for endpoint in proved
-        )
+        limits = view.endpoint_rates.in_force(now_s)
+        is_limited = any(e.endpoint_id in limits for e in proved)
         # The platform removes the oldest endpoints first, which may be the
         # ones that take more requests.
         for order in planner.plan(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -153,6 +153,8 @@
 
     def endpoint_wait_s(self, endpoint_id: str) -> float:
         """Returns the time until an endpoint's limit admits a request."""
+        if not self._endpoint_rates.has_limit(endpoint_id):
+            return 0.0
         return self._endpoint_rates.wait_s(
             endpoint_id, [self.settings.name, *self.peers], self.timers.now()
         )
