--- a/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
+++ b/packages/guavalane-cli/src/guavalane_cli/commands/explain.py
@@ -225,7 +225,7 @@
         room = "none for this node" if wait_s is None else f"in {wait_s} s"
         lines.append(
             f"            {endpoint}: takes {limit['rate_per_s']} requests/s of"
-            f" all nodes, told {age_s:.1f} s ago by {limit['source']}; room:"
-            f" {room}"
+            f" all nodes, received {age_s:.1f} s ago from {limit['source']};"
+            f" room: {room}"
         )
     return lines
--- a/packages/guavalane-cli/tests/test_explain.py
+++ b/packages/guavalane-cli/tests/test_explain.py
@@ -72,12 +72,12 @@
                 "quarantine.started",
                 part="p-1",
                 crashes=3,
-                source="told",
+                source="received",
             ),
             line(5.0, "n1", "request.refused", request="q-1", part="p-1"),
         ]
         text = explain("q-1", lines)
-        assert "p-1: in quarantine for 2.0 s after 3 crashes (told)" in text
+        assert "p-1: in quarantine for 2.0 s after 3 crashes (received)" in text
         assert "e-1 crashed 4.0 s ago, seen by n1" in text
         assert "e-2 crashed 3.0 s ago, seen by n2" in text
         assert "e-3" not in text
@@ -103,6 +103,6 @@
             ),
         ]
         assert (
-            "e-1: takes 2.5 requests/s of all nodes, told 2.0 s ago by n2;"
-            " room: none for this node"
+            "e-1: takes 2.5 requests/s of all nodes, received 2.0 s ago from"
+            " n2; room: none for this node"
         ) in explain("q-1", lines)
--- a/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
@@ -10,8 +10,8 @@
 # Crashes closer together count as one, in seconds: the loss of an availability
 # zone crashes many endpoints at once and says nothing about a prompt.
 MIN_CRASH_INTERVAL_S = 0.5
-# A part that was served this long before a crash, or at any time after it, is
-# not blamed for it. In seconds.
+# A crash does not count against a part that was served within this time before
+# it, or at any time after it. In seconds.
 SOUND_PERIOD_S = 60.0
 # Time after which a crash no longer counts, in seconds.
 CRASH_LIFETIME_S = 3600.0
@@ -46,7 +46,7 @@
 
 @attrs.define
 class CrashCount:
-    """Separate crashes that speak against a part.
+    """Separate crashes that count against a part.
 
     Attributes:
       total: Number of crashes.
@@ -132,7 +132,7 @@
                 yield crash
 
     def clear_part(self, part: str, at_s: float) -> None:
-        """Lets no crash up to a time speak against a part.
+        """Clears a part of all crashes up to a time.
 
         Args:
           part: Part.
@@ -143,8 +143,8 @@
         if len(self._cleared) > MAX_CLEARED:
             self._cleared.popitem(last=False)
 
-    def blameless_until_s(self, part: str) -> float:
-        """Returns the time up to which no crash speaks against a part."""
+    def sound_until_s(self, part: str) -> float:
+        """Returns the time up to which no crash counts against a part."""
         return max(
             self.last_success_s(part) + SOUND_PERIOD_S,
             self.last_cleared_s(part),
@@ -153,7 +153,7 @@
     def count_crashes(
         self, now_s: float, quarantined: Collection[str]
     ) -> dict[str, CrashCount]:
-        """Counts the separate crashes that speak against each part.
+        """Counts the separate crashes against each part.
 
         Args:
           now_s: Monotonic time in seconds.
@@ -167,7 +167,7 @@
                 continue
             is_explained = any(part in quarantined for part in crash.parts)
             for part, position in crash.parts.items():
-                if crash.at_s <= self.blameless_until_s(part):
+                if crash.at_s <= self.sound_until_s(part):
                     continue
                 last_s = last_counted_s.get(part, NEVER_S)
                 if crash.at_s - last_s < MIN_CRASH_INTERVAL_S:
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -28,7 +28,7 @@
     return {part: count.total for part, count in counts.items()}
 
 
-def add_crashes(table, times_s, parts=("common", "deadly")):
+def add_crashes(table, times_s, parts=("common", "crashing")):
     """Adds one crash of a new endpoint process for each time."""
     for at_s in times_s:
         table.evidence.add_crash(f"e-{at_s}/1", in_order(*parts), at_s)
@@ -40,7 +40,7 @@
 
 
 class TestCrashEvidence:
-    """Guards against parts that are blamed for the crashes of others."""
+    """Guards against sound parts that count as the cause of a crash."""
 
     def test_crashes_at_the_same_time_count_once(self):
         evidence = CrashEvidence()
@@ -64,7 +64,7 @@
         assert totals(evidence, 10.0) == {"a": 2}
 
     @pytest.mark.parametrize("served_s", [-SOUND_PERIOD_S + 6.0, 5.5, 20.0])
-    def test_a_part_that_is_served_is_not_blamed(self, served_s):
+    def test_no_crash_counts_against_a_part_that_is_served(self, served_s):
         evidence = CrashEvidence()
         evidence.add_crash("e-1/1", in_order("a"), 5.0)
         evidence.add_success("a", served_s)
@@ -78,9 +78,9 @@
 
     def test_a_quarantined_part_explains_crashes(self):
         evidence = CrashEvidence()
-        evidence.add_crash("e-1/1", in_order("a", "deadly"), 5.0)
+        evidence.add_crash("e-1/1", in_order("a", "crashing"), 5.0)
         evidence.add_crash("e-2/1", in_order("a"), 6.0)
-        count = evidence.count_crashes(7.0, ["deadly"])["a"]
+        count = evidence.count_crashes(7.0, ["crashing"])["a"]
         assert (count.total, count.unexplained) == (2, 1)
 
     def test_memory_is_bounded(self):
@@ -102,25 +102,25 @@
         table.on_success("common", 0.0)
         add_crashes(table, [4.0, 5.0])
         assert update(table, 5.0) == []
-        assert table.is_suspect(make_prompt(context="deadly"))
+        assert table.is_suspect(make_prompt(context="crashing"))
         add_crashes(table, [6.0])
-        assert update(table, 6.0) == ["deadly"]
-        assert table.find(make_prompt(context="deadly")).crashes == 3
+        assert update(table, 6.0) == ["crashing"]
+        assert table.find(make_prompt(context="crashing")).crashes == 3
         assert table.find(make_prompt(context="sound")) is None
 
     def test_of_parts_that_occur_together_the_last_is_quarantined(self):
         """Guards against sound prompts rejected for a part that all share."""
         table = QuarantineTable()
-        add_crashes(table, [4.0, 5.0, 6.0], ["common", "deadly", "subject"])
+        add_crashes(table, [4.0, 5.0, 6.0], ["common", "crashing", "subject"])
         assert update(table, 6.0) == ["subject"]
 
     def test_the_first_crash_without_the_quarantined_part_decides(self):
         table = QuarantineTable()
-        add_crashes(table, [4.0, 5.0, 6.0], ["common", "deadly", "subject"])
+        add_crashes(table, [4.0, 5.0, 6.0], ["common", "crashing", "subject"])
         update(table, 6.0)
         table.on_success("common", 7.0)
-        add_crashes(table, [8.0], ["common", "deadly", "other"])
-        assert update(table, 8.0) == ["deadly"]
+        add_crashes(table, [8.0], ["common", "crashing", "other"])
+        assert update(table, 8.0) == ["crashing"]
 
     def test_the_own_part_of_a_request_is_not_considered(self):
         table = QuarantineTable()
@@ -133,9 +133,9 @@
         table = QuarantineTable()
         add_crashes(table, [4.0, 5.0])
         update(table, 5.0)
-        for part in ("common", "deadly"):
+        for part in ("common", "crashing"):
             table.on_success(part, 6.0)
-        assert not table.is_suspect(make_prompt(context="deadly"))
+        assert not table.is_suspect(make_prompt(context="crashing"))
 
     def test_the_number_of_quarantines_is_bounded(self):
         table = QuarantineTable()
@@ -169,7 +169,7 @@
         assert update(table, 11.0) == ["a"]
 
     def test_an_older_success_does_not_end_the_quarantine(self):
-        """Guards against a late report that releases a deadly part."""
+        """Guards against a late report that releases a crashing part."""
         table = QuarantineTable()
         add_crashes(table, [64.0, 65.0, 66.0], ["a"])
         update(table, 66.0)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
@@ -73,8 +73,8 @@
         self._repetitions_left = 0
         self._report_timer = ReportTimer(view, timers, self._send_report)
         self._next_evaluation: Subscription | None = None
-        # Served parts of crashes that no node has told of yet.
-        self._untold: set[str] = set()
+        # Served parts of crashes that no node has reported yet.
+        self._unreported: set[str] = set()
         self._claimed_trials: set[str] = set()
         self._next_claim_s = NEVER_S
 
@@ -125,13 +125,13 @@
         """Applies a report of another node."""
         now_s = self._timers.now()
         evidence = self._table.evidence
-        told = {success.part for success in report.successes}
+        reported = {success.part for success in report.successes}
         for success in report.successes:
             at_s = now_s - success.age_ms / MS_PER_S
             ended = self._table.on_success(success.part, at_s)
             if ended is not None:
                 self._log_released(ended, report.node)
-        self._untold -= told
+        self._unreported -= reported
         is_changed = False
         for crash in report.crashes:
             at_s = now_s - crash.age_ms / MS_PER_S
@@ -139,10 +139,11 @@
             if not evidence.add_crash(crash.process, parts, at_s):
                 continue
             is_changed = True
-            self._untold.update(
+            self._unreported.update(
                 part
                 for part in parts
-                if part not in told and evidence.last_success_s(part) > NEVER_S
+                if part not in reported
+                and evidence.last_success_s(part) > NEVER_S
             )
         for message in report.quarantines:
             self._adopt(quarantine_from_message(message))
@@ -150,7 +151,7 @@
             self._next_evaluation = self._timers.call_later(
                 EVALUATION_DELAY_S, self._evaluate_reports
             )
-        if self._untold:
+        if self._unreported:
             delay_s = self._view.rng.uniform(0, MAX_REPLY_DELAY_S)
             self._timers.call_later(delay_s, self._reply)
         self._report_timer.refresh()
@@ -191,7 +192,7 @@
 
     def _reply(self) -> None:
         """Tells of successes unless another node has done so."""
-        if self._untold:
+        if self._unreported:
             self._report_timer.send_within(0.0)
 
     def _evaluate_reports(self) -> None:
@@ -228,7 +229,7 @@
                 "quarantine.started",
                 part=quarantine.part_id,
                 crashes=quarantine.crashes,
-                source="told",
+                source="received",
                 since_ms=quarantine.since_ms,
             )
 
@@ -254,7 +255,7 @@
         )
         if report is None:
             return
-        self._untold.clear()
+        self._unreported.clear()
         self._send(encode(report))
         if self._repetitions_left > 0:
             self._repetitions_left -= 1
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -27,7 +27,7 @@
 SILENCE_GAP_FACTOR = 3
 MIN_SILENCE_TIMEOUT_S = 1.0
 # A prompt that crashes endpoints does so when its output begins. One that has
-# had output for this long, in seconds, is not blamed for a later crash.
+# had output for this long, in seconds, is not the cause of a later crash.
 SERVED_PERIOD_S = 0.5
 MISDIRECTED_REQUEST = 421
 REFUSAL_STATUSES = (408, 421, 429, 503)
--- a/packages/guavalane-entry/tests/gateway/test_deadly_prompts.py
+++ b/packages/guavalane-entry/tests/gateway/test_crashing_prompts.py
@@ -41,7 +41,7 @@
 
 
 class CrashingEndpoints:
-    """Endpoints that crash when they begin to answer a deadly prompt.
+    """Endpoints that crash when they begin to answer a crashing prompt.
 
     Attributes:
       crashes: Number of crashed endpoints.
@@ -70,7 +70,7 @@
             headers = echo_headers(exchange)
             lines += [f"{name}: {value}" for name, value in headers.items()]
             await exchange.send("\r\n".join(lines).encode() + b"\r\n\r\n")
-            if "deadly" in exchange.request.header(NAMES.prompt_parts):
+            if "crashing" in exchange.request.header(NAMES.prompt_parts):
                 self.crashes += 1
                 await endpoint.stop()
                 await exchange.reset()
@@ -90,13 +90,13 @@
 
 
 async def crash_until_quarantined(rig, endpoints):
-    """Sends deadly requests until their part is in quarantine."""
+    """Sends crashing requests until their part is in quarantine."""
     for _ in range(CRASHES_TO_QUARANTINE):
-        await call(rig, "deadly")
+        await call(rig, "crashing")
         await asyncio.sleep(CRASH_INTERVAL_S)
 
 
-class TestDeadlyPrompts:
+class TestCrashingPrompts:
     """Guards against prompts that crash one endpoint after the other."""
 
     async def test_few_endpoints_are_crashed_by_the_same_part(self):
@@ -106,7 +106,7 @@
             assert await call(rig, "sound") == 200
             await crash_until_quarantined(rig, endpoints)
             for _ in range(6):
-                await call(rig, "deadly")
+                await call(rig, "crashing")
             assert endpoints.crashes == CRASHES_TO_QUARANTINE
 
     async def test_the_caller_is_told_at_once_that_nothing_ran(self):
@@ -115,7 +115,7 @@
             await endpoints.start(6)
             await call(rig, "sound")
             await crash_until_quarantined(rig, endpoints)
-            headers = prompt_headers("deadly")
+            headers = prompt_headers("crashing")
             async with rig.call(headers=headers) as answer:
                 problem = await answer.json(content_type=None)
                 assert answer.status == 503
@@ -137,11 +137,11 @@
         async with GatewayRig(make_stream_configuration(resumable=True)) as rig:
             endpoints = CrashingEndpoints(rig)
             await endpoints.start(8)
-            parts = {"common": 0, "deadly": 1}
+            parts = {"common": 0, "crashing": 1}
             for name in ("gone-1", "gone-2"):
                 rig.quarantine.on_crash(make_endpoint(name), parts)
                 await asyncio.sleep(CRASH_INTERVAL_S)
-            assert await call(rig, "deadly") == 502
+            assert await call(rig, "crashing") == 502
             assert endpoints.crashes == 1
 
 
@@ -154,7 +154,7 @@
         async with GatewayRig(make_stream_configuration()) as rig:
             yield rig
 
-    async def report(self, rig, endpoint, parts=("common", "deadly")):
+    async def report(self, rig, endpoint, parts=("common", "crashing")):
         """Reports a broken response and returns the counted failures."""
         failures = []
         rig.crash_monitor.on_broken(endpoint, parts, lambda: failures.append(1))
@@ -174,7 +174,7 @@
         assert not rig.view.quarantines.evidence.crashes
 
     async def test_what_was_being_answered_is_reported_first(self, rig):
-        """Guards against a deadly part lost among those of waiting requests."""
+        """Guards against a part left out for those of waiting requests."""
         rig.add_unreachable_endpoint("e-1")
         endpoint = rig.view.directory.get("e-1")
         for number in range(40):
@@ -184,10 +184,10 @@
             )
         assert await self.report(rig, endpoint) == 1
         (crash,) = rig.view.quarantines.evidence.crashes
-        assert list(crash.parts)[:2] == ["common", "deadly"]
+        assert list(crash.parts)[:2] == ["common", "crashing"]
 
     async def test_a_crash_under_a_suspect_is_not_the_versions_fault(self, rig):
-        """Guards against a good version rolled back for a deadly prompt."""
+        """Guards against a good version rolled back for a crashing prompt."""
         counted = []
         for number in range(4):
             rig.add_unreachable_endpoint(f"e-{number}")
--- a/packages/guavalane-entry/tests/gateway/test_quarantine.py
+++ b/packages/guavalane-entry/tests/gateway/test_quarantine.py
@@ -26,7 +26,7 @@
 # Time in which a crash is detected, in seconds.
 DETECTION_S = 0.01
 DELIVERY_S = 0.002
-DEADLY = make_prompt(context="deadly")
+CRASHING = make_prompt(context="crashing")
 
 
 class Fleet:
@@ -102,21 +102,21 @@
             lambda: self.nodes[name].on_crash(endpoint, parts),
         )
 
-    def request(self, prompt=DEADLY):
+    def request(self, prompt=CRASHING):
         """Sends a request to a random node; returns whether it is forwarded."""
         name = self._rng.choice(self._names)
         node = self.nodes[name]
         quarantine = node.view.quarantines.find(prompt)
         if quarantine is not None and not node.take_trial(quarantine):
             return False
-        if prompt is DEADLY:
+        if prompt is CRASHING:
             self.crash(name, prompt)
         else:
             node.on_served(prompt)
         return True
 
     async def play(self, duration_s, rate_per_s):
-        """Sends deadly requests at random times.
+        """Sends crashing requests at random times.
 
         Returns:
           Times of those that were forwarded, in seconds.
@@ -138,7 +138,7 @@
 
 
 class TestFleet:
-    """Guards against deadly requests that reach endpoints on every node."""
+    """Guards against crashing requests that reach endpoints on every node."""
 
     @pytest.mark.parametrize("size", [2, 8, 74])
     @pytest.mark.parametrize("rate_per_s", [0.5, 2.0, 10.0])
@@ -174,7 +174,7 @@
         await fleet.play(10.0, 2.0)
         fleet.start("n3")
         await fleet.timers.run_for(CONTACT_S)
-        assert fleet.nodes["n3"].view.quarantines.find(DEADLY) is not None
+        assert fleet.nodes["n3"].view.quarantines.find(CRASHING) is not None
 
     async def test_a_node_that_was_cut_off_is_told_what_it_missed(self):
         fleet = Fleet(8)
@@ -182,15 +182,15 @@
         await fleet.play(10.0, 2.0)
         fleet.cut = set()
         await fleet.timers.run_for(CONTACT_S)
-        assert fleet.nodes["n3"].view.quarantines.find(DEADLY) is not None
+        assert fleet.nodes["n3"].view.quarantines.find(CRASHING) is not None
 
     async def test_the_evidence_of_a_lost_node_still_counts(self):
         fleet = Fleet(8)
         for name in ("n1", "n2", "n3"):
-            fleet.crash(name, DEADLY)
+            fleet.crash(name, CRASHING)
             await fleet.timers.run_for(0.6)
             fleet.start(name)
-        assert fleet.nodes["n5"].view.quarantines.find(DEADLY) is not None
+        assert fleet.nodes["n5"].view.quarantines.find(CRASHING) is not None
 
 
 class TestSoundParts:
@@ -205,7 +205,7 @@
             fleet.request()
             await fleet.timers.run_for(0.6)
         for node in fleet.nodes.values():
-            assert set(node.view.quarantines.quarantines) == {"deadly"}
+            assert set(node.view.quarantines.quarantines) == {"crashing"}
 
     async def test_few_nodes_tell_of_the_same_success(self):
         """Guards against a burst of reports in a large fleet."""
@@ -236,7 +236,7 @@
         fleet = Fleet(8)
         await fleet.play(10.0, 2.0)
         await fleet.timers.run_for(2.0)
-        fleet.nodes["n2"].on_served(DEADLY)
+        fleet.nodes["n2"].on_served(CRASHING)
         await fleet.timers.run_for(0.1)
         for node in fleet.nodes.values():
             assert not node.view.quarantines.quarantines
@@ -251,7 +251,7 @@
         await fleet.api.delete(QUARANTINE_KIND, stored.name, stored.version)
         await fleet.follow_store()
         for node in fleet.nodes.values():
-            assert node.view.quarantines.find(DEADLY) is None
+            assert node.view.quarantines.find(CRASHING) is None
 
 
 class TestTrials:
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -268,7 +268,7 @@
                 assert await answer.read() == b'{"error": "bad"}'
 
     async def test_an_error_is_no_success_of_the_prompt(self):
-        """Guards against a deadly part that counts as served."""
+        """Guards against a crashing part that counts as served."""
         async with GatewayRig(configuration(resumable=False)) as rig:
             await rig.add_endpoint(answer_error(400, b""))
             async with rig.call(headers=STREAM_HEADERS):
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -248,10 +248,10 @@
 
 
 class TestQuarantine:
-    """Guards against a deadly prompt that is forwarded after a restart."""
+    """Guards against a crashing prompt that is forwarded after a restart."""
 
     SOUND = "common:300,sound:300,own:600"
-    DEADLY = "common:300,deadly:300,own:600"
+    CRASHING = "common:300,crashing:300,own:600"
     CRASHES = 3
 
     async def call(self, deployment, number, parts):
@@ -272,12 +272,12 @@
                 for number in range(10)
             ]
             for endpoint in endpoints:
-                endpoint.deadly_part = "deadly"
+                endpoint.crashing_part = "crashing"
             await asyncio.sleep(0.3)
             for number in range(4):
                 assert await self.call(deployment, number, self.SOUND) == 200
             for number in range(self.CRASHES):
-                await self.call(deployment, number, self.DEADLY)
+                await self.call(deployment, number, self.CRASHING)
                 await asyncio.sleep(0.6)
                 for endpoint in endpoints:
                     if endpoint.crashed:
@@ -291,7 +291,7 @@
                 await deployment.wait_ready(node)
             await asyncio.sleep(0.3)
             for number in range(4):
-                assert await self.call(deployment, number, self.DEADLY) == 503
+                assert await self.call(deployment, number, self.CRASHING) == 503
                 assert await self.call(deployment, number, self.SOUND) == 200
             assert sum(e.crashed for e in endpoints) == crashed
             for node in deployment.nodes:
