Show on each node how late a change came into force

Cause: a watch that is quiet and one that is deaf looked alike, and nothing told how long after its peers a node had a configuration in force.

Change: `watch.changed` and the histogram `watch_age_at_change` give the time since the previous response when the object API returns changes, which is their greatest age. `configuration.offered` and the gauge `configuration_behind_seconds` give the time since a peer reported the version first: now, for the version in force, and the longest so far.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -313,6 +313,9 @@
             "configuration_version": lambda: {
                 "": self._configuration_version()
             },
+            "configuration_behind_seconds": lambda: (
+                view.configuration_delays.summary(self._timers.now())
+            ),
             "requests_active": lambda: {"": self._callers.active},
             "endpoints_known": lambda: {"": len(view.directory)},
             "peers": lambda: {
@@ -392,6 +395,9 @@
                 self._log,
                 self._view.rng,
                 availability,
+                functools.partial(
+                    self._metrics.record, "watch_age_at_change", name
+                ),
             )
             for name, (kind, sink) in kinds.items()
         }
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -369,6 +369,7 @@
             self._log.event("peer.heard", peer=node)
         self._last_report_s[node] = now_s
         self._fencing_numbers[node] = report.duties
+        view.configuration_delays.on_reported(report.configuration, now_s)
         view.clock.observe(node, report.wall_ms / 1000)
         loads = loads_from_messages(report.work)
         view.work.report(node, loads, now_s + self._peer_timeout_s())
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -89,6 +89,7 @@
             version=configuration.version,
             in_force=in_force,
             routes=len(configuration.routes),
+            behind_peers_s=round(self._view.configuration_delays.last_s, 3),
         )
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -22,6 +22,7 @@
 from guavalane_core.routing.ejection import OutlierEjector
 from guavalane_core.timers import Timers
 from guavalane_core.usage import MedianClock, UsageCounts
+from guavalane_entry.gateway.configuration_delays import ConfigurationDelays
 from guavalane_entry.gateway.settings import GatewaySettings
 
 # Fraction of the allotment tolerance that a node uses deliberately. The rest
@@ -60,6 +61,7 @@
         self._moves = MoveTable(settings.exposure, settings.exposure_slack)
         self._quarantines = QuarantineTable()
         self._endpoint_rates = EndpointRateLimits(settings.name, rng)
+        self._configuration_delays = ConfigurationDelays()
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
@@ -141,6 +143,11 @@
         """Route table of the active configuration; None without one."""
         return self._table
 
+    @property
+    def configuration_delays(self) -> ConfigurationDelays:
+        """Delays with which configurations came into force."""
+        return self._configuration_delays
+
     @property
     def sent(self) -> Mapping[str, DemandTotals]:
         """Totals that this process has sent, by service."""
@@ -203,6 +210,9 @@
         ):
             return False
         self._table = RouteTable(configuration)
+        self._configuration_delays.on_applied(
+            configuration.version, self._timers.now()
+        )
         self._apply_organisations(configuration)
         return True
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 from loguru import logger as log
@@ -70,6 +70,8 @@
       log: Decision log.
       rng: Source of jitter.
       availability: Availability of the object API, shared with the other kinds.
+      on_change: Called at each change with the time since the previous response
+          in seconds, which is the greatest possible age of the change.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         log: DecisionLog,
         rng: random.Random,
         availability: ApiAvailability | None = None,
+        on_change: Callable[[float], None] | None = None,
     ) -> None:
         self._api = api
         self._kind = kind
@@ -89,6 +92,7 @@
         self._log = log
         self._rng = rng
         self._availability = availability or ApiAvailability()
+        self._on_change = on_change
         self._version: str | None = None
         self._last_response_s: float | None = None
         self._lost_since_s: float | None = None
@@ -196,12 +200,16 @@
     async def _step(self) -> None:
         if self._version is None:
             objects, version = await self._api.list(self._kind)
+            if self.listed and self._differ(objects):
+                self._record_change(len(objects))
             self._on_response()
             self._store_objects(objects)
             self._sink.replace_all(objects)
             self._version = version
             return
         batch = await self._api.poll(self._kind, self._version, POLL_WAIT_S)
+        if batch.events:
+            self._record_change(len(batch.events))
         self._on_response()
         for event in batch.events:
             self._apply(event)
@@ -214,6 +222,21 @@
             self._objects[event.object.name] = event.object
         self._sink.apply(event)
 
+    def _differ(self, objects: list[StoredObject]) -> bool:
+        versions = {stored.name: stored.version for stored in objects}
+        known = {name: o.version for name, o in self._objects.items()}
+        return versions != known
+
+    def _record_change(self, objects: int) -> None:
+        self._log.event(
+            "watch.changed",
+            kind=self._kind,
+            objects=objects,
+            age_s=round(self.age_s, 3),
+        )
+        if self._on_change is not None:
+            self._on_change(self.age_s)
+
     def _on_response(self) -> None:
         self._last_response_s = self._timers.now()
         self._failures = 0
