Detect a silent watch before the node counts as in touch

Callers saw: keys and routes of a configuration that had been acknowledged more than 2 s before were refused with 401 or 404, and removed ones were served, on nodes that counted as in touch (CONFIG, DENIED).

Cause: a watch waits up to 18 s for changes, and nothing proved meanwhile that it could receive any. When open connections go silent, only TCP keep-alive ended the wait, 4 s after the last byte. All nodes were affected alike, so no peer had a newer version to copy.

Ruled out: backoff after the failure (0.07 s), copies (no peer was ahead).

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
@@ -96,8 +96,9 @@
     def start(self) -> None:
         """Starts the checks for outdated kinds."""
         self._session = make_session(
+            # Copies are rare, and an idle connection may have gone silent.
             connector=aiohttp.TCPConnector(
-                socket_factory=make_keepalive_socket
+                force_close=True, socket_factory=make_keepalive_socket
             ),
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -21,7 +21,8 @@
 from guavalane_entry.gateway.decision_log import DecisionLog
 
 # Longest wait of one poll, in seconds. Long polls save calls to the object API,
-# which are rate-limited, and TCP keep-alive probes detect broken connections.
+# which are rate-limited. TCP keep-alive probes detect most broken connections;
+# the polls of urgent kinds are shorter (see `RelayedObjectApi`).
 # The object API keeps 20 s of history: after a longer wait without changes, the
 # kind would have to be listed again.
 POLL_WAIT_S = 18.0
--- a/packages/guavalane-entry/src/guavalane_entry/http_session.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_session.py
@@ -39,11 +39,20 @@
     return aiohttp.ClientSession(middlewares=(_forbid_resend,), **kwargs)
 
 
-def make_keepalive_socket(address_info: Any) -> socket.socket:
+def make_keepalive_socket(
+    address_info: Any,
+    *,
+    probes: int = KEEPALIVE_PROBES,
+    user_timeout_ms: int = USER_TIMEOUT_MS,
+) -> socket.socket:
     """Returns a TCP socket that detects an unresponsive peer.
 
     Args:
       address_info: Entry of `socket.getaddrinfo`, as passed by aiohttp.
+      probes: Unanswered keepalive probes after which an idle connection is
+          closed.
+      user_timeout_ms: Time after which a connection with unacknowledged data
+          is closed, in milliseconds.
     """
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family, kind, protocol)
@@ -51,6 +60,6 @@
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
     return sock
--- a/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -10,9 +10,12 @@
 from guavalane_entry.relays.link import RelayLink
 from guavalane_entry.relays.server import RelayServer
 
-# Maximum wait of a poll for an urgent kind on a relay. Each response confirms
-# to the followers that the relay still reaches the object API.
-MAX_URGENT_WAIT_S = 0.8
+# Maximum wait of a poll for an urgent kind, in seconds. Each response confirms
+# that this node knows all changes; a connection that went silent shows only in
+# a missing response.
+MAX_URGENT_WAIT_S = 1.6
+# The same on a relay, whose data must reach its followers before it is too old.
+MAX_RELAY_WAIT_S = 0.8
 # Wait of a poll that only reads existing changes.
 MIN_WAIT_S = 0.001
 
@@ -82,10 +85,13 @@
     async def _poll_directly(
         self, kind: str, version: str, wait_s: float
     ) -> ObjectBatch:
+        urgent = kind in self._urgent
+        if urgent:
+            wait_s = min(wait_s, MAX_URGENT_WAIT_S)
         if self._is_direct():
-            if kind in self._urgent:
-                wait_s = min(wait_s, MAX_URGENT_WAIT_S)
-        elif self._link.is_ahead(kind, version, urgent=kind in self._urgent):
+            if urgent:
+                wait_s = min(wait_s, MAX_RELAY_WAIT_S)
+        elif self._link.is_ahead(kind, version, urgent=urgent):
             # Reads the changes that the relay does not provide.
             wait_s = MIN_WAIT_S
         try:
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -30,7 +30,7 @@
 )
 from guavalane_entry.relays.link import RelayLink
 from guavalane_entry.relays.object_api import (
-    MAX_URGENT_WAIT_S,
+    MAX_RELAY_WAIT_S,
     RelayedObjectApi,
 )
 from guavalane_entry.relays.server import HEARTBEAT_S, PATH, RelayServer
@@ -421,7 +421,7 @@
         """
         store, relay, follower = pair
         store.put_hidden("hidden")
-        await asyncio.sleep(MAX_URGENT_WAIT_S + 0.3)
+        await asyncio.sleep(MAX_RELAY_WAIT_S + 0.3)
         assert "hidden" not in relay.seen
         store.cut()
         await relay.wait_for("hidden", APPLY_S)
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -23,6 +23,9 @@
 
 # Time limit of the operators for applying a configuration, in seconds.
 APPLY_LIMIT_S = 2.0
+# Time after a disturbance within which the operators expect a node to reach the
+# store again, in seconds.
+CONTACT_LIMIT_S = 3.0
 TOKEN_COUNT = "1200,60"
 STREAM_BODY = b"".join(
     f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 11)
@@ -144,6 +147,33 @@
             for node in deployment.nodes:
                 assert (await deployment.call(node, "/new/x"))[0] == 200
 
+    async def test_every_node_applies_a_change_after_its_polls_went_silent(
+        self,
+    ):
+        async with Deployment(3) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            await asyncio.sleep(0.3)
+            deployment.store.silence_connections()
+            config = make_config(7)
+            config["Routes"][0]["PathPrefix"] = "/new/"
+            deployment.store.put("config", "main", config)
+            await asyncio.sleep(CONTACT_LIMIT_S)
+            for node in deployment.nodes:
+                assert (await deployment.call(node, "/new/x"))[0] == 200
+                assert (await deployment.call(node, "/once/x"))[0] == 404
+
+    async def test_every_node_drops_an_endpoint_after_its_polls_went_silent(
+        self,
+    ):
+        async with Deployment(3) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            await asyncio.sleep(0.3)
+            deployment.store.silence_connections()
+            deployment.store.remove("servers", "i-app")
+            await asyncio.sleep(CONTACT_LIMIT_S)
+            for node in deployment.nodes:
+                assert (await deployment.call(node, "/once/x"))[0] == 503
+
     async def test_the_configuration_is_kept_while_the_store_is_down(self):
         async with Deployment(1) as deployment:
             await deployment.add_endpoint("i-app", "app")
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -15,7 +15,7 @@
     WriteOutcomeUnknownError,
 )
 from guavalane_core.objects import ConditionalWriter
-from guavalane_platform.objects import StoreObjectApi
+from guavalane_platform.objects import MAX_IDLE_S, StoreObjectApi
 from guavalane_platform_standins.store import StoreServer
 from guavalane_standins.processes import free_port
 
@@ -117,6 +117,16 @@
         with pytest.raises(ObjectApiUnavailableError):
             await client.get("things", "a")
 
+    async def test_a_connection_that_went_silent_while_idle_is_not_reused(
+        self, store
+    ):
+        server, client = store
+        server.put("things", "a", {"n": 1})
+        await client.get("things", "a")
+        server.silence_connections()
+        await asyncio.sleep(MAX_IDLE_S + 0.1)
+        assert (await client.get("things", "a")).body == {"n": 1}
+
     async def test_an_invalid_body_does_not_hide_other_objects(self, store):
         server, client = store
         server.put("things", "a", "text")
