Read the orders again when an endpoint has a new version

Class: a silent watch is taken for current. The watch of the orders to move services polls for up to 18 s, as orders are rare. A node that learns of the endpoints of a new version, but not of the order, sends them a full share.

Change: an endpoint with a version that no other endpoint of its service has makes the node list the orders at once. This costs a call per node and version, and none otherwise.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -366,7 +366,12 @@
             ),
             "endpoints": (
                 endpoint_kind[0],
-                EndpointSink(self._view, endpoint_kind[1], self._log),
+                EndpointSink(
+                    self._view,
+                    endpoint_kind[1],
+                    self._log,
+                    lambda: self._watches["moves"].refresh(),
+                ),
             ),
             "nodes": (
                 NODE_KIND,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -101,12 +101,19 @@
       decode: Function that decodes a stored endpoint; raises
           `ConfigurationError` if the object is invalid.
       log: Decision log.
+      on_new_version: Called when an endpoint has a version that no other
+          endpoint of its service has.
     """
 
     def __init__(
-        self, view: NodeView, decode: EndpointDecoder, log: DecisionLog
+        self,
+        view: NodeView,
+        decode: EndpointDecoder,
+        log: DecisionLog,
+        on_new_version: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(view, decode, log)
+        self._on_new_version = on_new_version
         self._expiry: Subscription | None = None
 
     def replace_all(self, objects: list[StoredObject]) -> None:
@@ -183,6 +190,9 @@
             self._view.prefixes.forget(name)
             self._view.ejector.forget(name)
             self._view.endpoint_rates.forget(name)
+        if known is None and self._has_new_version(endpoint):
+            # Its share depends on an order that may not have arrived.
+            self._on_new_version()
         if known is None or known.leaving != endpoint.leaving:
             self._log.event(
                 "endpoint.listed",
@@ -194,6 +204,11 @@
                 leaving=endpoint.leaving,
             )
 
+    def _has_new_version(self, endpoint: Endpoint) -> bool:
+        others = self._view.directory.all_endpoints(endpoint.service)
+        versions = {other.version for other in others}
+        return bool(versions) and endpoint.version not in versions
+
 
 class PeerSink(KindSink):
     """Keeps the addresses of the other nodes current.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -143,6 +143,17 @@
         """Stops the watch."""
         await cancel_tasks(self._task)
 
+    def refresh(self) -> None:
+        """Lists the kind again instead of waiting for the current poll.
+
+        During an outage it does nothing, as the kind is listed after it anyway.
+        """
+        if self._task is None or self.lost:
+            return
+        self._task.cancel()
+        self._version = None
+        self.start()
+
     def merge_copy(self, objects: list[StoredObject]) -> None:
         """Replaces the objects with the copy of a peer."""
         self._store_objects(objects)
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -41,7 +41,13 @@
         self.timers = ManualTimers()
         self.view = NodeView(make_settings(), self.timers, random.Random(1))
         log = DecisionLog("n1", self.timers.wall)
-        self.sink = EndpointSink(self.view, decode, log)
+        self.new_versions = 0
+        self.sink = EndpointSink(
+            self.view, decode, log, self._count_new_version
+        )
+
+    def _count_new_version(self):
+        self.new_versions += 1
 
     def is_used(self, name="e-1"):
         """Returns whether an endpoint receives new requests."""
@@ -116,3 +122,21 @@
         harness.sink.apply(ObjectEvent(broken, deleted=False))
         assert not harness.is_used()
         assert harness.is_used("e-2")
+
+
+class TestNewVersion:
+    """Guards against a version that is used before its order is known."""
+
+    def test_the_first_list_is_not_new(self, harness):
+        assert harness.new_versions == 0
+
+    def test_an_endpoint_of_a_known_version_is_not_new(self, harness):
+        harness.sink.apply(ObjectEvent(make_stored("e-3")))
+        assert harness.new_versions == 0
+
+    def test_another_version_is_new_once(self, harness):
+        for _ in range(2):
+            stored = make_stored("e-3", version="v2")
+            harness.sink.apply(ObjectEvent(stored))
+        harness.sink.apply(ObjectEvent(make_stored("e-4", version="v2")))
+        assert harness.new_versions == 1
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -186,6 +186,37 @@
         assert sink.bodies == {"a": {"n": 1}}
         await watch.stop()
 
+    async def test_a_refresh_does_not_wait_for_the_poll(self):
+        """Guards against an order that a silent poll does not return."""
+        api = FakeApi()
+        watch, sink = make_watch(api)
+        watch.start()
+        await run_ready_tasks()
+        api.drop_events = True
+        api.put("a", {"n": 1})
+        watch.refresh()
+        await run_ready_tasks()
+        assert sink.bodies == {"a": {"n": 1}}
+        api.drop_events = False
+        api.put("b", {"n": 2})
+        await run_ready_tasks()
+        assert sink.bodies == {"a": {"n": 1}, "b": {"n": 2}}
+        await watch.stop()
+
+    async def test_a_refresh_during_an_outage_keeps_the_backoff(self):
+        api = FakeApi()
+        timers = ManualTimers()
+        api.error = ObjectApiUnavailableError("down")
+        watch, _ = make_watch(api, timers)
+        watch.start()
+        await run_ready_tasks()
+        lists = api.lists
+        for _ in range(10):
+            watch.refresh()
+            await run_ready_tasks()
+        assert api.lists == lists
+        await watch.stop()
+
     async def test_calls_back_off_during_an_outage(self):
         api = FakeApi()
         timers = ManualTimers()
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -392,6 +392,28 @@
                 await deployment.call(node, "/look/x", method="GET")
             assert len(target.executions) == before
 
+    async def test_a_new_version_is_not_exposed_while_its_order_is_not_received(
+        self,
+    ):
+        async with Deployment(2) as deployment:
+            for number in range(3):
+                await deployment.add_endpoint(f"i-old-{number}", "app")
+            await asyncio.sleep(0.3)
+            deployment.store.silence_connections()
+            order = {"Service": "app", "Target": "v2", "StepIntervalS": 60}
+            deployment.store.put("rollouts", "app", order)
+            target = await deployment.add_endpoint("i-new", "app", version="v2")
+            await asyncio.sleep(CONTACT_LIMIT_S)
+            calls = [
+                deployment.call(node, "/look/x", method="GET")
+                for node in deployment.nodes
+                for _ in range(100)
+            ]
+            assert {status for status, _ in await asyncio.gather(*calls)} == {
+                200
+            }
+            assert len(target.executions) <= 0.1 * len(calls)
+
     async def test_a_good_version_is_completed(self):
         async with Deployment(2) as deployment:
             target, status, answers = await self.move(deployment, False)
