Tell requests of a stopping node in time whether they will be answered

Callers saw: in a planned stop, requests that came late in the grace, by a body that arrived slowly or as a retry, were passed on and then cut without a response, among them requests that may run only once. A request without its whole body was cut as well.

Cause: only the listener knew of the stop, and only as a time until it closes connections. Nothing on the way from admission to an attempt knew how much time was left or how long requests of a route take.

RouteDurations measures how long requests take, by expected output tokens. A request, a retry or the rest of a stream that would not end in time is refused with 503 `stopping`, not run. At the deadline, requests that were passed on get 504, requests whose body has not arrived 503.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
@@ -19,6 +19,7 @@
     ServiceShare,
 )
 from guavalane_core.forwarding.directory import EndpointDirectory
+from guavalane_core.forwarding.durations import RouteDurations
 from guavalane_core.forwarding.endpoint import Endpoint
 from guavalane_core.forwarding.events import EventSplitter, StreamEvent
 from guavalane_core.forwarding.request import (
@@ -47,6 +48,7 @@
     "PromptPart",
     "Replicas",
     "Route",
+    "RouteDurations",
     "RouteTable",
     "Service",
     "ServiceShare",
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -21,6 +21,7 @@
     NoEndpointError,
     NotConfiguredError,
     QuarantinedError,
+    StoppingError,
     UnknownKeyError,
     UnknownRouteError,
 )
@@ -28,6 +29,9 @@
 
 # Retry-After of a node that has no configuration or no endpoints, in seconds.
 UNAVAILABLE_RETRY_S = 0.5
+# Retry-After of a node that stops, in seconds; another node can serve the
+# request at once.
+STOPPING_RETRY_S = 0.05
 # Longest Retry-After for an exhausted allotment, in seconds.
 MAX_ALLOTMENT_RETRY_S = 5.0
 # Longest Retry-After for limited endpoints, in seconds.
@@ -89,6 +93,15 @@
     )
 
 
+def make_stopping_error(view: NodeView) -> StoppingError:
+    """Returns the rejection of a request that a stop would break off."""
+    left_s = max(0.0, view.stop_deadline.left_s)
+    return StoppingError(
+        f"the node stops in {left_s:.1f} s",
+        with_jitter(view, STOPPING_RETRY_S),
+    )
+
+
 def make_limited_error(
     view: NodeView, waits_s: Mapping[str, float]
 ) -> EndpointsLimitedError:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -38,6 +38,12 @@
     code = "not_configured"
 
 
+class StoppingError(RefusalError):
+    """The node stops before it could answer the request."""
+
+    code = "stopping"
+
+
 class NoEndpointError(RefusalError):
     """No endpoint of the service accepts requests."""
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from guavalane_core.exceptions import RequestError
 from guavalane_core.forwarding import (
@@ -20,6 +21,7 @@
     AdmittedRequest,
     make_limited_error,
     make_quarantined_error,
+    make_stopping_error,
     refund,
     with_jitter,
 )
@@ -97,7 +99,7 @@
         self._view.retries(self._admitted.service.name).on_request(self._now())
         outcome = AttemptOutcome.NOT_SENT
         try:
-            async with asyncio.timeout(max(0.0, self._time_left())):
+            async with self._view.stop_deadline.limit(self._time_left()):
                 outcome = await self._attempt_until_final()
         except TimeoutError:
             outcome = AttemptOutcome.TIMED_OUT
@@ -113,6 +115,7 @@
             if not self._progress.possibly_run:
                 refund(self._view, self._admitted)
         if outcome is AttemptOutcome.ANSWERED:
+            self._record_duration()
             self._log_end("request.answered")
             return
         await self._finish_without_response(outcome)
@@ -123,7 +126,41 @@
     def _time_left(self) -> float:
         return self._deadline_s - self._now()
 
+    def _can_end_before_stop(self) -> bool:
+        """Returns whether another attempt can end before the node stops.
+
+        It is true if nothing is known of the duration of such requests.
+        """
+        left_s = self._view.stop_deadline.left_s
+        if math.isinf(left_s):
+            return True
+        estimate_s = self._view.durations.estimate_s(
+            self._admitted.route.name, self._expected_tokens_left()
+        )
+        return left_s > max(MIN_ATTEMPT_TIME_S, estimate_s or 0.0)
+
+    def _expected_tokens(self) -> int:
+        prompt = self._request.prompt
+        return 0 if prompt is None else prompt.expected_output_tokens
+
+    def _expected_tokens_left(self) -> int:
+        engine = self._admitted.service.engine
+        if engine is None:
+            return self._expected_tokens()
+        received = self._progress.events * engine.tokens_per_event
+        return max(0, self._expected_tokens() - received)
+
+    def _record_duration(self) -> None:
+        self._view.durations.record(
+            self._admitted.route.name,
+            self._now() - self._request.arrived_s,
+            first_event_s=self._progress.first_event_s,
+            expected_tokens=self._expected_tokens(),
+        )
+
     async def _attempt_until_final(self) -> AttemptOutcome:
+        if not self._can_end_before_stop():
+            return AttemptOutcome.NOT_SENT
         for _ in range(MAX_ATTEMPTS):
             if self._find_quarantine() is not None:
                 return AttemptOutcome.NOT_SENT
@@ -163,7 +200,8 @@
             possibly_run=self._progress.possibly_run,
             runs_left=self._progress.runs < self._admitted.route.max_endpoints,
             retry_budget_left=budget.may_spend(now_s, view.node_count),
-            time_left=self._time_left() > MIN_ATTEMPT_TIME_S,
+            time_left=self._time_left() > MIN_ATTEMPT_TIME_S
+            and self._can_end_before_stop(),
         )
         self._components.metrics.count("attempts_failed", outcome.value)
         self._components.log.request(
@@ -339,6 +377,8 @@
         if quarantine is not None and not self._progress.possibly_run:
             return make_quarantined_error(self._view, quarantine)
         if not self._progress.possibly_run:
+            if not self._can_end_before_stop():
+                return make_stopping_error(self._view)
             waits_s = limit_waits_s(self._view, self._admitted.service)
             if outcome is AttemptOutcome.NOT_SENT and waits_s:
                 return make_limited_error(self._view, waits_s)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -21,9 +21,11 @@
     BodyTooLargeError,
     HeaderTooLargeError,
     RefusalError,
+    StoppingError,
 )
 from guavalane_entry.gateway.problems import problem_of
 from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.stop_deadline import StopDeadline
 
 # Length of the accept queue; all callers may connect at the same time after a
 # simultaneous start.
@@ -289,6 +291,7 @@
       timers: Timer service.
       limits: Function that returns the limits in force.
       handler: Function that handles a request.
+      stop_deadline: Time left for requests while the node stops.
     """
 
     def __init__(
@@ -298,12 +301,14 @@
         timers: Timers,
         limits: Callable[[], CallerLimits],
         handler: Handler,
+        stop_deadline: StopDeadline,
     ) -> None:
         self._address = address
         self._codec = codec
         self._timers = timers
         self._limits = limits
         self._handler = handler
+        self._stop_deadline = stop_deadline
         self._closing = False
         self._unanswered = _ConnectionSet()
         self._server: _LimitedServer | None = None
@@ -391,7 +396,12 @@
         self, request: BaseRequest, reply: ConnectionReply
     ) -> None:
         try:
-            caller_request = await self._read(request)
+            async with self._stop_deadline.limit():
+                caller_request = await self._read(request)
+        except TimeoutError:
+            error = StoppingError("the node stops before the body has arrived")
+            await reply.send_response(*problem_of(error))
+            return
         except RefusalError as error:
             await reply.send_response(*problem_of(error))
             return
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -71,6 +71,9 @@
 UNREADY_PERIOD_S = 2.5
 # Part of the stop grace period reserved for closing connections, in seconds.
 CLOSE_RESERVE_S = 0.7
+# Time before that at which unfinished requests get their final response, in
+# seconds.
+ANSWER_RESERVE_S = 0.2
 
 
 @attrs.frozen(eq=False)
@@ -167,7 +170,12 @@
             )
         )
         self._callers = CallerListener(
-            settings.callers, codec, timers, self._limits, forwarder.forward
+            settings.callers,
+            codec,
+            timers,
+            self._limits,
+            forwarder.forward,
+            self._view.stop_deadline,
         )
         self._readiness = StatusListener(
             settings.readiness, {settings.readiness_path: self._check_readiness}
@@ -277,13 +285,13 @@
         began_s = self._timers.now()
         self._stopping = True
         self._log.event("node.stopping", active=self._callers.active)
+        drain_s = self._view.settings.stop_grace_s - CLOSE_RESERVE_S
+        self._view.stop_deadline.begin(max(0.0, drain_s - ANSWER_RESERVE_S))
         self._callers.close_after_responses()
         await self._duties.stop()
         await self._timers.sleep(UNREADY_PERIOD_S)
         spent_s = self._timers.now() - began_s
-        grace_s = self._view.settings.stop_grace_s
-        left_s = grace_s - spent_s - CLOSE_RESERVE_S
-        await self._callers.drain(max(0.0, left_s))
+        await self._callers.drain(max(0.0, drain_s - spent_s))
         await self._registration.stop()
         await self._copies.stop()
         await self._relay_link.stop()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -12,6 +12,7 @@
 from guavalane_core.forwarding import (
     EndpointDirectory,
     ForwardingConfiguration,
+    RouteDurations,
     RouteTable,
     SharedRetryBudget,
 )
@@ -24,6 +25,7 @@
 from guavalane_core.usage import MedianClock, UsageCounts
 from guavalane_entry.gateway.configuration_delays import ConfigurationDelays
 from guavalane_entry.gateway.settings import GatewaySettings
+from guavalane_entry.gateway.stop_deadline import StopDeadline
 
 # Fraction of the allotment tolerance that a node uses deliberately. The rest
 # covers use by other nodes that is not reported yet.
@@ -62,6 +64,8 @@
         self._quarantines = QuarantineTable()
         self._endpoint_rates = EndpointRateLimits(settings.name, rng)
         self._configuration_delays = ConfigurationDelays()
+        self._durations = RouteDurations()
+        self._stop_deadline = StopDeadline(timers)
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
@@ -148,6 +152,16 @@
         """Delays with which configurations came into force."""
         return self._configuration_delays
 
+    @property
+    def durations(self) -> RouteDurations:
+        """Durations of requests by route."""
+        return self._durations
+
+    @property
+    def stop_deadline(self) -> StopDeadline:
+        """Time left for requests while the node stops."""
+        return self._stop_deadline
+
     @property
     def sent(self) -> Mapping[str, DemandTotals]:
         """Totals that this process has sent, by service."""
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -20,6 +20,7 @@
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener
 from guavalane_entry.gateway.names import HeaderNames
+from guavalane_entry.gateway.node import ANSWER_RESERVE_S
 from guavalane_entry.gateway.quarantine import QuarantineService
 from guavalane_entry.gateway.settings import Address, GatewaySettings
 from guavalane_entry.gateway.view import NodeView
@@ -109,7 +110,12 @@
             )
         )
         self.listener = CallerListener(
-            listen, codec, timers, self._limits, self.forwarder.forward
+            listen,
+            codec,
+            timers,
+            self._limits,
+            self.forwarder.forward,
+            self.view.stop_deadline,
         )
         self.address = str(listen)
         self._endpoints: list[ScriptedEndpoint] = []
@@ -132,6 +138,12 @@
         for endpoint in self._endpoints:
             await endpoint.stop()
 
+    async def stop(self, left_s: float) -> None:
+        """Stops the listener as a node does after SIGTERM."""
+        self.view.stop_deadline.begin(left_s - ANSWER_RESERVE_S)
+        self.listener.close_after_responses()
+        await self.listener.drain(left_s)
+
     async def add_endpoint(
         self, script: Any, name: str = "e-1", **changes: Any
     ) -> ScriptedEndpoint:
