Take a reset body without a length for incomplete in the product's own client

Callers saw: 200 with an empty or short body, framed as whole, when a plain service behind the product's own interface sent a head without a length and its connection was reset.

Cause: aiohttp takes a reset for the end of a body without a length. The gateway's client checked for that, the product's own did not.

Change: both use `was_reset`. A body without a length that ends with an ordinary close stays complete, as HTTP defines it.

--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -21,7 +21,11 @@
 from guavalane_core.streams import parse_prompt_usage
 from guavalane_core.timers import Timers
 from guavalane_entry.callers.admission import EndpointLimits
-from guavalane_entry.endpoints.connection import EndpointConnector
+from guavalane_entry.endpoints.connection import (
+    EndpointConnector,
+    current_protocol,
+    was_reset,
+)
 from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_session import make_session
 
@@ -475,11 +479,14 @@
     async def _read_body(
         self, view: EndpointView, answer: aiohttp.ClientResponse
     ) -> bytes:
+        protocol = current_protocol.get()
         body = bytearray()
         async for data in answer.content.iter_any():
             body += data
             if len(body) > MAX_BODY_BYTES:
                 raise AttemptError(f"{view.name}: body too large", sent=True)
+        if was_reset(protocol):
+            raise AttemptError(f"{view.name}: connection reset", sent=True)
         return bytes(body)
 
     async def _read_end(self, answer: aiohttp.ClientResponse) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/connection.py
@@ -77,6 +77,17 @@
             self.transport.abort()
 
 
+def was_reset(protocol: Any) -> bool:
+    """Returns whether a connection ended with an error.
+
+    aiohttp treats a reset as the end of a body without a length.
+
+    Args:
+      protocol: Protocol of the connection, see `current_protocol`.
+    """
+    return isinstance(protocol.exception(), OSError)
+
+
 class EndpointConnector(aiohttp.TCPConnector):
     """Connector that never reuses a connection with unread bytes.
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -15,6 +15,7 @@
 from guavalane_entry.endpoints.connection import (
     EndpointConnector,
     current_protocol,
+    was_reset,
 )
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.http_session import make_keepalive_socket, make_session
@@ -117,9 +118,7 @@
                 yield data
         except (aiohttp.ClientError, OSError) as error:
             raise BrokenResponseError(repr(error)) from error
-        # aiohttp treats a connection reset as the end of a body without a
-        # length.
-        if isinstance(self.protocol.exception(), OSError):
+        if was_reset(self.protocol):
             raise BrokenResponseError("the connection was reset")
 
     async def read_whole(self) -> bytes:
--- a/packages/guavalane-entry/tests/test_http_clients.py
+++ b/packages/guavalane-entry/tests/test_http_clients.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import aiohttp.web
 import pytest
+from aiohttp import client_proto
+from aiohttp.http_parser import HttpResponseParserPy
 
 from guavalane_core.configuration import Configuration, parse_configuration
 from guavalane_core.exceptions import (
@@ -129,6 +133,63 @@
     )
 
 
+async def call_endpoint(serve):
+    """Calls an endpoint that runs `serve` per connection; returns its answer.
+
+    Raises:
+      AttemptError: The attempt failed.
+    """
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    timers = LoopTimers()
+    pool = EndpointPool("n", "z", 4, timers)
+    configuration = service_configuration(f"http://127.0.0.1:{port}")
+    pool.apply(configuration)
+    client = EndpointClient(pool, EndpointLimits(pool, timers), timers)
+    request = RequestContext(
+        request_id="id",
+        organisation="o",
+        route_name="r",
+        route=configuration.routes["r"],
+        deadline_s=timers.now() + 20,
+        method="GET",
+        path="/slots",
+    )
+    try:
+        return await client.call(pool.choose(request), request)
+    finally:
+        await client.close()
+        server.close()
+
+
+def make_truncating_server(data, *, reset=False):
+    """Returns a connection handler that sends bytes and ends the connection."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await writer.drain()
+        if reset:
+            # The bytes arrive before the reset, which would discard them.
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    return serve
+
+
+TRUNCATED_HEADS = [
+    b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 10\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n",
+]
+
+
 class TestEndpointClient:
     """Guards against automatic retries by the HTTP library."""
 
@@ -178,24 +239,33 @@
                     writer.write(block)
                     await writer.drain()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        timers = LoopTimers()
-        pool = EndpointPool("n", "z", 4, timers)
-        configuration = service_configuration(f"http://127.0.0.1:{port}")
-        pool.apply(configuration)
-        client = EndpointClient(pool, EndpointLimits(pool, timers), timers)
-        request = RequestContext(
-            request_id="id",
-            organisation="o",
-            route_name="r",
-            route=configuration.routes["r"],
-            deadline_s=timers.now() + 20,
-            method="GET",
-            path="/slots",
-        )
         async with asyncio.timeout(10.0):
             with pytest.raises(AttemptError):
-                await client.call(pool.choose(request), request)
-        await client.close()
-        server.close()
+                await call_endpoint(serve)
+
+    @pytest.mark.parametrize("parser", ["C", "Python"])
+    @pytest.mark.parametrize("head", TRUNCATED_HEADS)
+    async def test_no_cut_of_a_head_is_an_answer(
+        self, head, parser, monkeypatch
+    ):
+        """Guards against an answer that ends within its head."""
+        if parser == "Python":
+            monkeypatch.setattr(
+                client_proto, "HttpResponseParser", HttpResponseParserPy
+            )
+        for cut in range(len(head)):
+            with pytest.raises(AttemptError):
+                await call_endpoint(make_truncating_server(head[:cut]))
+
+    async def test_a_body_without_a_length_that_is_reset_is_no_answer(self):
+        """Guards against a short body that looks complete."""
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        for body in (b"", b"0123456789"):
+            serve = make_truncating_server(head + body, reset=True)
+            with pytest.raises(AttemptError):
+                await call_endpoint(serve)
+
+    async def test_a_body_without_a_length_ends_with_its_connection(self):
+        serve = make_truncating_server(b"HTTP/1.1 200 OK\r\n\r\n0123456789")
+        answer = await call_endpoint(serve)
+        assert (answer.status, answer.body) == (200, b"0123456789")
