--- a/packages/guavalane-entry/tests/gateway/test_truncated_heads.py
+++ b/packages/guavalane-entry/tests/gateway/test_truncated_heads.py
@@ -125,6 +125,15 @@
             assert len(statuses) == endpoint.head_bytes
             assert set(statuses) == {502}
 
+    async def test_the_last_byte_of_a_head_completes_it(self):
+        async with make_rig(Delivery.AT_MOST_ONCE) as rig:
+            endpoint = TruncatingEndpoint("empty", reset=False)
+            await rig.add_endpoint(endpoint)
+            assert await call(rig, 0) == 502
+            rig.view.ejector.held = lambda *_: ()
+            endpoint.cut = endpoint.head_bytes
+            assert await call(rig, 1) == 200
+
     @pytest.mark.parametrize("kind", FRAMING)
     async def test_no_cut_of_a_stream_becomes_a_success(self, kind):
         async with make_rig(Delivery.STREAM) as rig:
