Accept a good version although latencies rise during its move

Cause: an attempt counts as slow above a quantile of the old version that comes from earlier windows, with a memory of 20 windows. While latencies rise, nearly all attempts of both versions exceed it, so the comparison has no evidence, and the move is rolled back without enough evidence. For the same reason a version three times as slow could be accepted.

Change: for the acceptance, the limit is the quantile of the attempts of both versions in the same window, if the old version has 20 of them. The tests that reject a version keep the earlier windows.

Evidence: simulated moves with real trials.

--- a/packages/guavalane-core/src/guavalane_core/moves/judge.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/judge.py
@@ -66,7 +66,7 @@
         self.pending_windows = 0
         # Sum of all tables, for the text of a finding.
         self.total = ContingencyTable()
-        # Sum of the tables of the current stage.
+        # Sum of the tables of the current stage that can accept the version.
         self.stage = ContingencyTable()
 
     def add(self, table: ContingencyTable) -> None:
@@ -160,12 +160,13 @@
         for (_, route), test in self._tests.items():
             new = window.get((self._new, route), empty)
             old = window.get((self._old, route), empty)
+            accepting = test.rule.acceptance_table(new, old)
             table = test.rule.table(new, old)
             if warm_up and not test.rule.counts_warm_up:
                 continue
             test.add(table)
             if in_stage:
-                test.stage = _add_tables(test.stage, table)
+                test.stage = _add_tables(test.stage, accepting)
         if not in_stage:
             return
         self._stage_requests += sum(
--- a/packages/guavalane-core/src/guavalane_core/moves/rules.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/rules.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import attrs
@@ -24,8 +25,10 @@
 # Tolerated odds ratio of slow attempts. If latencies vary by a third, a version
 # that is 1.35 times as slow reaches it.
 SLOW_TOLERATED_ODDS = 4.0
-# Attempts of the old version required to estimate the quantile.
+# Attempts of the old version required to estimate the quantile from earlier
+# windows, and to use the attempts of one window.
 MIN_QUANTILE_SAMPLES = 50
+MIN_WINDOW_SAMPLES = 20
 # Weight of past samples after each window, so that the quantile adapts to the
 # load; 0.95 averages over about 20 windows.
 QUANTILE_DECAY = 0.95
@@ -64,19 +67,45 @@
         """Odds ratio up to which a version is accepted."""
 
     def table(self, new: AttemptCounts, old: AttemptCounts) -> ContingencyTable:
-        """Returns the table of one window; must be called once per window."""
+        """Returns the table of one window that can reject the new version.
+
+        Must be called once per window.
+        """
+
+    def acceptance_table(
+        self, new: AttemptCounts, old: AttemptCounts
+    ) -> ContingencyTable:
+        """Returns the table of one window that can accept the new version.
+
+        Must be called before `table`.
+        """
 
 
 RULES: Registry[type[Rule]] = Registry("judging rule")
 
 
+class _CountRule:
+    """Compares the rates of events that are counted directly."""
+
+    counts_warm_up = True
+    tolerated_odds = TOLERATED_ODDS
+
+    def table(self, new: AttemptCounts, old: AttemptCounts) -> ContingencyTable:
+        """Returns the table of the events."""
+        raise NotImplementedError
+
+    def acceptance_table(
+        self, new: AttemptCounts, old: AttemptCounts
+    ) -> ContingencyTable:
+        """Returns the same table."""
+        return self.table(new, old)
+
+
 @RULES.register("errors")
-class ErrorRule:
+class ErrorRule(_CountRule):
     """Compares the rates of failed attempts."""
 
     text = "attempts that fail"
-    counts_warm_up = True
-    tolerated_odds = TOLERATED_ODDS
 
     def table(self, new: AttemptCounts, old: AttemptCounts) -> ContingencyTable:
         """Returns the table of failed attempts."""
@@ -86,12 +115,10 @@
 
 
 @RULES.register("rejections")
-class RejectionRule:
+class RejectionRule(_CountRule):
     """Compares the rates of 4xx responses, which clients can cause as well."""
 
     text = "answers with a 4xx status"
-    counts_warm_up = True
-    tolerated_odds = TOLERATED_ODDS
 
     def table(self, new: AttemptCounts, old: AttemptCounts) -> ContingencyTable:
         """Returns the table of rejected attempts."""
@@ -103,9 +130,11 @@
 class _SlowRule:
     """Compares the rates of slow attempts.
 
-    An attempt is slow above a latency quantile of the old version. The quantile
-    is estimated from earlier windows only, so that it is independent of the
-    window that is compared.
+    An attempt is slow above a latency quantile of the old version. For a
+    rejection the quantile is estimated from earlier windows only, so that it is
+    independent of the window that is compared. For an acceptance it is that of
+    the same window if possible: while latencies rise for both versions, nearly
+    all attempts exceed an earlier quantile, which decides nothing.
     """
 
     # A version that has just started is slower because its caches are empty.
@@ -119,15 +148,9 @@
         raise NotImplementedError
 
     def _limit(self) -> int | None:
-        total = sum(self._seen)
-        if total < MIN_QUANTILE_SAMPLES:
+        if sum(self._seen) < MIN_QUANTILE_SAMPLES:
             return None
-        below = 0.0
-        for index, count in enumerate(self._seen):
-            below += count
-            if below >= SLOW_QUANTILE * total:
-                return index
-        return None
+        return _slow_limit(self._seen)
 
     @property
     def limit_s(self) -> float | None:
@@ -143,14 +166,44 @@
             seen * QUANTILE_DECAY + count
             for seen, count in zip(self._seen, old_buckets, strict=True)
         ]
-        if limit is None:
-            return ContingencyTable()
-        return ContingencyTable(
-            sum(new_buckets),
-            sum(new_buckets[limit + 1 :]),
-            sum(old_buckets),
-            sum(old_buckets[limit + 1 :]),
-        )
+        return _slow_table(new_buckets, old_buckets, limit)
+
+    def acceptance_table(
+        self, new: AttemptCounts, old: AttemptCounts
+    ) -> ContingencyTable:
+        """Returns the table of attempts that are slow for their window."""
+        new_buckets, old_buckets = self._buckets(new), self._buckets(old)
+        if sum(old_buckets) >= MIN_WINDOW_SAMPLES:
+            # A limit from the old attempts alone would be fitted to them, and
+            # the new version would seem slower.
+            limit = _slow_limit(
+                [a + b for a, b in zip(new_buckets, old_buckets, strict=True)]
+            )
+        else:
+            limit = self._limit()
+        return _slow_table(new_buckets, old_buckets, limit)
+
+
+def _slow_limit(buckets: Sequence[float]) -> int | None:
+    """Returns the index of the bucket that holds the slow quantile."""
+    target = SLOW_QUANTILE * sum(buckets)
+    below = 0.0
+    for index, count in enumerate(buckets):
+        below += count
+        if below >= target:
+            return index
+    return None
+
+
+def _slow_table(
+    new: Sequence[int], old: Sequence[int], limit: int | None
+) -> ContingencyTable:
+    """Returns the table of attempts above a bucket; empty without a limit."""
+    if limit is None:
+        return ContingencyTable()
+    return ContingencyTable(
+        sum(new), sum(new[limit + 1 :]), sum(old), sum(old[limit + 1 :])
+    )
 
 
 @RULES.register("latency")
--- a/packages/guavalane-core/tests/moves/test_trial.py
+++ b/packages/guavalane-core/tests/moves/test_trial.py
@@ -344,3 +344,59 @@
         if not gives_up:
             self._sample.finish(now_s, failed=False)
         return False
+
+
+class TestVaryingLatency:
+    """Guards against an undecided comparison while latencies vary.
+
+    Both versions slow down alike, such as on a machine with more and more other
+    work. Most attempts then exceed a limit that comes from earlier windows.
+    """
+
+    SECONDS = 10
+    SEEDS = 40
+
+    def is_accepted(self, seed, *, spread, growth, slowdown):
+        """Plays a move of one service and returns whether it is accepted.
+
+        Args:
+          seed: Seed of the latencies.
+          spread: Spread of the latency between seconds, as the standard
+              deviation of its logarithm.
+          growth: Factor by which the latency grows each second.
+          slowdown: Factor by which the new version is slower.
+        """
+        rng = random.Random(seed)
+        trial = VersionTrial()
+        for second in range(self.SECONDS):
+            scale_s = 0.01 * rng.lognormvariate(0, spread) * growth**second
+            for number in range(5 * RATE):
+                is_new = rng.random() < NEW_SHARE
+                elapsed_s = scale_s * rng.lognormvariate(0, 0.3)
+                record(
+                    trial,
+                    "notes",
+                    is_new=is_new,
+                    now_s=second + number / (5 * RATE),
+                    elapsed_s=elapsed_s * (slowdown if is_new else 1.0),
+                )
+            if trial.judge(second + 1.0):
+                return False
+        return not trial.unmet_requirement()
+
+    def test_a_good_version_is_accepted_while_latencies_rise(self):
+        undecided = [
+            seed
+            for seed in range(self.SEEDS)
+            if not self.is_accepted(seed, spread=0.3, growth=1.8, slowdown=1.0)
+        ]
+        assert undecided == []
+
+    @pytest.mark.parametrize("growth", [1.0, 1.8])
+    def test_a_slow_version_is_not_accepted_while_latencies_vary(self, growth):
+        accepted = [
+            seed
+            for seed in range(self.SEEDS)
+            if self.is_accepted(seed, spread=1.2, growth=growth, slowdown=3.0)
+        ]
+        assert accepted == []
