Discard the copy of a peer that arrives after the object API has answered

Class: an old list after a new one. A node without the object API reads the objects from a peer. If the object API answered while the copy was on its way, the copy replaced the newer list, and the watch went on from the version of the list, so that the old objects stayed until their next change. The configuration is protected by its version; endpoints and orders were not.

Change: a copy is merged only if it is still needed when it arrives.

Test: test_a_copy_that_arrives_after_the_recovery_is_discarded failed before (the old object stayed).

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
@@ -119,18 +119,40 @@
             # A change reaches nodes at slightly different times, so the copy is
             # read only if the version is outdated at two checks in a row.
             if behind and was_behind:
-                await self._read("configuration", [node])
+                await self._read_newer(version, node)
             was_behind = behind
             for name, watch in self._watches.items():
                 if watch.lost_for_s > FALLBACK_DELAY_S:
-                    await self._read(name, self._reports.live_peers())
+                    await self._read_lost(name)
 
-    async def _read(self, name: str, nodes: list[str]) -> None:
-        """Merges the copy of the first node that provides one."""
+    async def _read_newer(self, version: int, node: str) -> None:
+        """Reads a newer configuration from the node that has it."""
+        await self._read(
+            "configuration", [node], lambda: version > self._own_version()
+        )
+
+    async def _read_lost(self, name: str) -> None:
+        """Reads a kind that the object API does not provide."""
+        watch = self._watches[name]
+        await self._read(name, self._reports.live_peers(), lambda: watch.lost)
+
+    async def _read(
+        self, name: str, nodes: list[str], is_needed: Callable[[], bool]
+    ) -> None:
+        """Merges the copy of the first node that provides one.
+
+        Args:
+          name: Name of the watch.
+          nodes: Nodes.
+          is_needed: Whether a copy that has arrived is still needed. The object
+              API may have answered in the meantime, with newer objects.
+        """
         nodes = list(nodes)
         self._rng.shuffle(nodes)
         for node in nodes:
             objects = await self._fetch(name, node)
+            if objects is not None and not is_needed():
+                return
             if objects is not None:
                 self._watches[name].merge_copy(objects)
                 self._log.event(
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -6,6 +6,7 @@
 import functools
 import random
 
+import cbor2
 import pytest
 
 from guavalane_core.exceptions import (
@@ -423,6 +424,54 @@
         assert sink.bodies == {"a": {"n": 1}}
         assert "merge" not in sink.calls
 
+    async def test_a_copy_that_arrives_after_the_recovery_is_discarded(self):
+        """Guards against old objects that replace those of the object API."""
+        api = FakeApi()
+        api.put("a", {"n": 1})
+        watch, sink = make_watch(api)
+        address = Address("127.0.0.1", free_port())
+        old = cbor2.dumps([["a", "2", {"n": 1}, {}]])
+        requested, released = asyncio.Event(), asyncio.Event()
+
+        async def serve_late(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            requested.set()
+            await released.wait()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(old)}\r\n\r\n"
+            writer.write(head.encode() + old)
+            writer.close()
+
+        server = await asyncio.start_server(
+            serve_late, address.host, address.port
+        )
+        timers = LoopTimers()
+        reader = CopyReader(
+            {"things": watch},
+            FakeReports(str(address)),
+            lambda: 0,
+            timers,
+            DecisionLog("n2", timers.wall),
+            random.Random(1),
+        )
+        watch.start()
+        await run_ready_tasks()
+        api.fail(ObjectApiUnavailableError("down"))
+        reader.start()
+        await asyncio.wait_for(requested.wait(), 3.0)
+        api.put("a", {"n": 2})
+        api.error = None
+        for _ in range(30):
+            if not watch.lost:
+                break
+            await asyncio.sleep(0.02)
+        released.set()
+        await asyncio.sleep(0.2)
+        assert sink.bodies == {"a": {"n": 2}}
+        assert "merge" not in sink.calls
+        await reader.stop()
+        await watch.stop()
+        server.close()
+
     def test_invalid_copies_are_rejected(self):
         for data in (b"", b"\x00", b"\x81\x01", b"\xff"):
             with pytest.raises(ValueError):
