--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -388,6 +388,8 @@
                 with_jitter(self._view, UNAVAILABLE_RETRY_S),
             )
         if outcome is AttemptOutcome.TIMED_OUT:
+            if self._view.stop_deadline.left_s <= 0 < self._time_left():
+                return ResponseTimeoutError("the node stops")
             return ResponseTimeoutError("the time for the request has ended")
         return OutcomeUnknownError(f"the attempt ended as {outcome.value}")
 
--- a/packages/guavalane-entry/tests/gateway/test_stop.py
+++ b/packages/guavalane-entry/tests/gateway/test_stop.py
@@ -159,6 +159,7 @@
             status, body = await call
             assert status == 504
             assert json.loads(body)["not_run"] is False
+            assert json.loads(body)["detail"] == "the node stops"
 
     async def test_a_late_retry_is_not_sent(self):
         async def break_late(exchange):
