--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -90,7 +90,8 @@
     async def __aenter__(self) -> Deployment:
         """Starts stand-ins and nodes; see the base class."""
         deployment.NodeProcess = Node
-        original = Node.__init__
+        node_class = Node
+        original = node_class.__init__
 
         def init(node: Node, *arguments: Any, **named: Any) -> None:
             original(node, *arguments, **named)
