--- /dev/null
+++ b/review/more/full_pipe/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+. "$(dirname "$0")/../../standins/run.sh"
