Keep the limit of a slow attempt on rare routes and near its quantile

Cause: the samples of the old version lose 5 % of their weight in each window of a second. On a route with 1.5 attempts of the old version a second they fall below the 50 that a limit requires and never return, so the attempts there are not compared. And the limit is the upper bound of the bucket that holds the quantile: where that bucket is wide, 8 % of the attempts are slow instead of 25 %, which tells the versions apart badly.

Change: the decay stops at the required number. An acceptance takes the bound of a bucket that is nearest to the quantile; a rejection takes the bound above it as before, since odds of a lower one need more attempts.

--- a/packages/guavalane-core/src/guavalane_core/moves/rules.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/rules.py
@@ -82,6 +82,12 @@
 
 
 RULES: Registry[type[Rule]] = Registry("judging rule")
+# Names of the rules.
+ERRORS, REJECTIONS = "errors", "rejections"
+LATENCY, TOKEN_GAP = "latency", "token_gap"
+# Rules that count events of attempts, and those that compare times.
+COUNT_RULES = (ERRORS, REJECTIONS)
+SLOW_RULES = (LATENCY, TOKEN_GAP)
 
 
 class _CountRule:
@@ -101,7 +107,7 @@
         return self.table(new, old)
 
 
-@RULES.register("errors")
+@RULES.register(ERRORS)
 class ErrorRule(_CountRule):
     """Compares the rates of failed attempts."""
 
@@ -114,7 +120,7 @@
         )
 
 
-@RULES.register("rejections")
+@RULES.register(REJECTIONS)
 class RejectionRule(_CountRule):
     """Compares the rates of 4xx responses, which clients can cause as well."""
 
@@ -162,8 +168,11 @@
         """Returns the table of slow attempts."""
         limit = self._limit()
         new_buckets, old_buckets = self._buckets(new), self._buckets(old)
+        # On a rare route, each window has fewer samples than the decay removes.
+        kept = MIN_QUANTILE_SAMPLES / max(MIN_QUANTILE_SAMPLES, sum(self._seen))
+        decay = max(QUANTILE_DECAY, kept)
         self._seen = [
-            seen * QUANTILE_DECAY + count
+            seen * decay + count
             for seen, count in zip(self._seen, old_buckets, strict=True)
         ]
         return _slow_table(new_buckets, old_buckets, limit)
@@ -176,11 +185,13 @@
         if sum(old_buckets) >= MIN_WINDOW_SAMPLES:
             # A limit from the old attempts alone would be fitted to them, and
             # the new version would seem slower.
-            limit = _slow_limit(
+            limit = _nearest_limit(
                 [a + b for a, b in zip(new_buckets, old_buckets, strict=True)]
             )
+        elif self._limit() is None:
+            limit = None
         else:
-            limit = self._limit()
+            limit = _nearest_limit(self._seen)
         return _slow_table(new_buckets, old_buckets, limit)
 
 
@@ -195,6 +206,21 @@
     return None
 
 
+def _nearest_limit(buckets: Sequence[float]) -> int | None:
+    """Returns the bucket whose upper bound is nearest to the slow quantile.
+
+    Where one bucket holds many attempts, the bucket with the quantile varies
+    with the sample, and so does the rate of slow attempts.
+    """
+    index = _slow_limit(buckets)
+    if index is None:
+        return None
+    target = SLOW_QUANTILE * sum(buckets)
+    below = sum(buckets[:index])
+    is_nearer_below = target - below < below + buckets[index] - target
+    return index - 1 if below and is_nearer_below else index
+
+
 def _slow_table(
     new: Sequence[int], old: Sequence[int], limit: int | None
 ) -> ContingencyTable:
@@ -206,7 +232,7 @@
     )
 
 
-@RULES.register("latency")
+@RULES.register(LATENCY)
 class LatencyRule(_SlowRule):
     """Compares the time to the first token or response."""
 
@@ -216,7 +242,7 @@
         return counts.latency
 
 
-@RULES.register("token_gap")
+@RULES.register(TOKEN_GAP)
 class TokenGapRule(_SlowRule):
     """Compares the mean time between the events of a stream."""
 
