Decide on a new version by the evidence of each route

Cause: requests for the new version were drawn by traffic, so the rarer route had some ten attempts; failures of all routes were pooled; and the rate that was not accepted, twice the old odds plus 0.2, is 45 % there.

Change: the requests within the operators' limit are divided among routes by the sample size that a fault needs there, and the fixed number of requests is released over the move. Each route needs evidence of its own against a fault of 25 %, in which the old version's attempts before the move count. It must be clear from 0.7 of the time on, and more likely sound than faulty at 0.9. Stages of planned moves use the same check of each route. Outcomes before the move go to the other nodes as entries with an empty target, which nodes of the old build ignore.

Why it works: about 38 of the 50 look-ups until the decision now reach the new version, and are compared by themselves.

--- a/packages/guavalane-core/src/guavalane_core/messages/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/generated.py
@@ -783,7 +783,8 @@
 
     Attributes:
       service: Name of the service.
-      target: Version that the service moves to.
+      target: Version that the service moves to; empty for outcomes before the
+          move.
       route: Name of the route.
       is_new: Whether the counts are those of the target version.
       requests: Number of finished attempts.
--- a/packages/guavalane-core/src/guavalane_core/moves/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/evidence.py
@@ -71,6 +71,14 @@
             for index, count in enumerate(theirs):
                 mine[index] += count
 
+    def halve(self) -> None:
+        """Halves all counts, so that later attempts weigh more."""
+        self.requests //= 2
+        self.errors //= 2
+        self.rejected //= 2
+        self.latency[:] = [count // 2 for count in self.latency]
+        self.gaps[:] = [count // 2 for count in self.gaps]
+
     def since(self, earlier: AttemptCounts) -> AttemptCounts:
         """Returns what was added to totals since earlier ones."""
         return AttemptCounts(
--- a/packages/guavalane-core/src/guavalane_core/moves/judge.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/judge.py
@@ -3,11 +3,23 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 
 import attrs
 
 from guavalane_core.moves.evidence import AttemptCounts, WindowCounts
-from guavalane_core.moves.rules import RULES, ContingencyTable, Rule
+from guavalane_core.moves.failure_evidence import (
+    Events,
+    FailureTables,
+    weak_route,
+)
+from guavalane_core.moves.rules import (
+    COUNT_RULES,
+    ERRORS,
+    RULES,
+    ContingencyTable,
+    Rule,
+)
 from guavalane_core.moves.sequential import SequentialTest, pass_evidence
 
 # Probability that any test of a move rejects a version that is within the
@@ -201,7 +213,7 @@
         for (rule, route), test in self._tests.items():
             total = test.total
             tried = total.new_total >= MIN_ROUTE_REQUESTS
-            if rule == "errors" and total.old_total and not tried:
+            if rule == ERRORS and total.old_total and not tried:
                 return route
         return ""
 
@@ -222,6 +234,20 @@
           false_pass_target: Probability that a version outside the tolerance
               passes one rule.
         """
+        if missing := self.missing_requests(requests):
+            return missing
+        if last and self.untested_route():
+            return f"requests on route {self.untested_route()}"
+        return self.weak_rule(
+            tuple(RULES), tolerance, false_pass_target
+        ) or weak_route(self._stage_failures(), tolerance, 0.0)
+
+    def missing_requests(self, requests: int) -> str:
+        """Describes requests or a clear result that the stage still lacks.
+
+        Args:
+          requests: Attempts of the new version that the stage requires.
+        """
         if self._stage_requests < requests:
             return f"{requests - self._stage_requests} more requests"
         suspected = max(
@@ -233,10 +259,21 @@
         )
         if suspected[0] > math.log(HOLD_EVIDENCE):
             return f"a clear result of rule {suspected[1]} on {suspected[2]}"
-        if last and self.untested_route():
-            return f"requests on route {self.untested_route()}"
+        return ""
+
+    def weak_rule(
+        self, rules: Collection[str], tolerance: float, false_pass_target: float
+    ) -> str:
+        """Describes a rule without enough evidence on all routes together.
+
+        Args:
+          rules: Names of the rules to check.
+          tolerance: Tolerated increase of the error rate.
+          false_pass_target: Probability that a version outside the tolerance
+              passes one rule.
+        """
         needed = math.log(1 / false_pass_target)
-        for rule in RULES:
+        for rule in rules:
             total = ContingencyTable()
             for (name, _), test in self._tests.items():
                 if name == rule:
@@ -249,16 +286,28 @@
                 return f"evidence of rule {rule}"
         return ""
 
-    def doubtful_route(self, tolerance: float) -> str:
-        """Describes a route on which the new version is probably bad, if any.
+    def _stage_failures(self) -> FailureTables:
+        return {
+            (rule, route): (
+                Events(test.stage.new_total, test.stage.new_events),
+                Events(test.stage.old_total, test.stage.old_events),
+            )
+            for (rule, route), test in self._tests.items()
+            if rule in COUNT_RULES
+        }
+
+    def doubtful_route(self, rules: Collection[str]) -> str:
+        """Describes a route on which the new version is probably slow, if any.
 
         A fault on one route is diluted in the evidence of all routes.
 
         Args:
-          tolerance: Tolerated increase of the error rate.
+          rules: Names of the rules to check.
         """
         for (rule, route), test in self._tests.items():
-            evidence = _pass_evidence(rule, test.stage, tolerance)
+            if rule not in rules:
+                continue
+            evidence = _pass_evidence(rule, test.stage, SLOW_TOLERANCE)
             if evidence < -math.log(DOUBT_EVIDENCE):
                 return f"a better result of rule {rule} on {route}"
         return ""
--- a/packages/guavalane-core/src/guavalane_core/moves/table.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Mapping, Sequence
 
 import attrs
@@ -10,21 +11,24 @@
 from guavalane_core.forwarding.endpoint import Endpoint
 from guavalane_core.forwarding.version_move import MovePhase, VersionMove
 from guavalane_core.moves.evidence import AttemptCounts
+from guavalane_core.moves.exposure import ExposureBudget
 from guavalane_core.moves.samples import AttemptSample
 from guavalane_core.moves.trial import VersionTrial
 
 # Fraction of the operators' exposure limit that is used. The margin covers
 # repeated requests, which count as well, requests that do not reach the
 # service, and nodes that restart and count their requests anew.
-EXPOSURE_FRACTION = 0.75
-# Largest fraction of requests that a version under trial receives while it uses
-# up the slack, as a multiple of the used exposure limit.
-MAX_DRAW_FACTOR = 3
-# Fractions of a move's time limit at which a move to an accepted version is
-# completed, and at which one without enough evidence is rolled back. Evidence
-# is collected for as long as possible, because a fault may appear late.
+EXPOSURE_FRACTION = 0.85
+# Fraction of a move's time limit from which on a move to a version that is
+# clearly good is completed. Evidence is collected for as long as possible,
+# because a fault may appear late.
 COMPLETE_FRACTION = 0.7
-ROLLBACK_FRACTION = 0.85
+# Fraction at which the move ends by the evidence there is. The rest of the time
+# serves to write the phase.
+DECISION_FRACTION = 0.9
+# Log evidence that each route requires at these times.
+CLEAR_EVIDENCE = 3.0
+DECISION_EVIDENCE = 0.0
 # Samples of the old version per route above which the baseline is halved, so
 # that it adapts to the load.
 MAX_BASELINE_SAMPLES = 400
@@ -41,22 +45,20 @@
       seen_s: Monotonic time at which this node first saw the order, in
           seconds.
       trial: Comparison of the versions.
+      budget: Requests of this node that the new version may receive.
       fault: Why the new version was rejected; empty if it was not.
-      requests: Requests of this node since the move is running.
-      exposed: Requests among them that were sent to the new version.
     """
 
     move: VersionMove
     seen_s: float
-    trial: VersionTrial = attrs.field(factory=VersionTrial)
+    trial: VersionTrial
+    budget: ExposureBudget
     fault: str = ""
-    requests: int = 0
-    exposed: int = 0
 
     @property
     def unmet(self) -> str:
         """What an acceptance of the new version lacks; empty if nothing."""
-        return self.trial.unmet_requirement()
+        return self.trial.unmet_requirement(DECISION_EVIDENCE)
 
     @property
     def is_stopped(self) -> bool:
@@ -75,13 +77,13 @@
         elapsed_fraction = (now_s - self.seen_s) / max(
             1e-3, self.move.time_limit_s
         )
-        if elapsed_fraction >= COMPLETE_FRACTION and not self.unmet:
+        if elapsed_fraction < COMPLETE_FRACTION:
+            return None
+        is_last = elapsed_fraction >= DECISION_FRACTION
+        needed = DECISION_EVIDENCE if is_last else CLEAR_EVIDENCE
+        if not self.trial.unmet_requirement(needed):
             return MovePhase.COMPLETED
-        return (
-            MovePhase.ROLLED_BACK
-            if elapsed_fraction >= ROLLBACK_FRACTION
-            else None
-        )
+        return MovePhase.ROLLED_BACK if is_last else None
 
 
 class MoveTable:
@@ -91,9 +93,16 @@
       exposure: Maximum fraction of a service's requests that a version under
           trial may receive.
       slack: Number of requests that it may receive in addition.
+      rng: Source of random numbers.
     """
 
-    def __init__(self, exposure: float, slack: float = 0.0) -> None:
+    def __init__(
+        self,
+        exposure: float,
+        slack: float = 0.0,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._rng = rng or random.Random()
         self._exposure = exposure * EXPOSURE_FRACTION
         self._slack = slack * EXPOSURE_FRACTION
         self._moves: dict[str, TrackedMove] = {}
@@ -129,8 +138,12 @@
             tracked.move = move
 
     def _track(self, move: VersionMove, now_s: float) -> TrackedMove:
-        baseline = self._baselines.get(move.service)
-        return TrackedMove(move, now_s, VersionTrial(baseline))
+        trial = VersionTrial(self._baselines.get(move.service))
+        budget = ExposureBudget(
+            self._exposure, self._slack, move.time_limit_s, self._rng
+        )
+        budget.divide(trial.traffic(), 0.0)
+        return TrackedMove(move, now_s, trial, budget)
 
     def begin_attempt(
         self, endpoint: Endpoint, route: str, now_s: float
@@ -156,9 +169,8 @@
         counts = routes[route] = routes.pop(route, None) or AttemptCounts()
         if len(routes) > MAX_BASELINE_ROUTES:
             del routes[next(iter(routes))]
-        if sum(counts.latency) >= MAX_BASELINE_SAMPLES:
-            counts.latency[:] = [count // 2 for count in counts.latency]
-            counts.gaps[:] = [count // 2 for count in counts.gaps]
+        if counts.requests >= MAX_BASELINE_SAMPLES:
+            counts.halve()
         return counts
 
     def end_attempt(
@@ -191,6 +203,8 @@
         usable: Sequence[Endpoint],
         draw: float,
         *,
+        route: str,
+        now_s: float,
         first: bool,
         nodes: int = 1,
     ) -> list[Endpoint]:
@@ -200,6 +214,8 @@
           service: Service.
           usable: Endpoints of the service that accept new requests.
           draw: Random number from 0 to 1 that selects the version.
+          route: Name of the request's route.
+          now_s: Monotonic time in seconds.
           first: Whether it is the first attempt of the request. Retries go to
               the old version.
           nodes: Number of nodes, which share the slack.
@@ -215,31 +231,14 @@
             return new or old
         if tracked.move.phase is MovePhase.ORDERED:
             return old
-        if new and first and self._may_expose(tracked, draw, nodes):
-            return self._trial_endpoints(new, len(old))
+        if new and first:
+            elapsed_s = max(0.0, now_s - tracked.seen_s)
+            if tracked.budget.take(route, draw, elapsed_s, nodes):
+                return self._trial_endpoints(new, len(old))
         # Without endpoints of the old version, the version under trial is used
         # rather than rejecting the request.
         return old or new
 
-    def _may_expose(
-        self, tracked: TrackedMove, draw: float, nodes: int
-    ) -> bool:
-        """Returns whether a request goes to the version under trial.
-
-        The number of requests that it has received is bounded rather than only
-        their expectation. The slack is used over time, as a fault may appear
-        late.
-        """
-        tracked.requests += 1
-        allowed = self._exposure * tracked.requests + self._slack / nodes
-        if (
-            draw >= MAX_DRAW_FACTOR * self._exposure
-            or tracked.exposed + 1 > allowed
-        ):
-            return False
-        tracked.exposed += 1
-        return True
-
     def judge(self, now_s: float) -> list[TrackedMove]:
         """Evaluates running moves and returns those rejected by this call."""
         rejected = []
@@ -248,8 +247,15 @@
                 tracked.fault = tracked.trial.judge(now_s)
                 if tracked.fault:
                     rejected.append(tracked)
+                self._divide_exposure(tracked, now_s)
         return rejected
 
+    def _divide_exposure(self, tracked: TrackedMove, now_s: float) -> None:
+        elapsed_s = max(1e-3, now_s - tracked.seen_s)
+        requests = tracked.trial.requests()
+        if requests:
+            tracked.budget.divide(tracked.trial.traffic(), requests / elapsed_s)
+
     def _trial_endpoints(
         self, new: Sequence[Endpoint], old_count: int
     ) -> list[Endpoint]:
--- a/packages/guavalane-core/tests/moves/test_table.py
+++ b/packages/guavalane-core/tests/moves/test_table.py
@@ -28,6 +28,13 @@
     return {endpoint.version for endpoint in endpoints}
 
 
+def select(table, usable, draw, *, first=True, now_s=LIMIT_S):
+    """Returns the endpoints for an attempt, by default after the time limit."""
+    return table.allowed(
+        "app", usable, draw, route="r", now_s=now_s, first=first
+    )
+
+
 def record(trial, *, is_new, failed=False):
     """Records an attempt of 0.1 s."""
     sample = trial.begin("r", is_new=is_new, now_s=0.0)
@@ -53,35 +60,34 @@
         return MoveTable(EXPOSURE, SLACK)
 
     def test_without_a_move_all_versions_serve(self, table, endpoints):
-        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        allowed = select(table, endpoints, 0.0)
         assert allowed == endpoints
 
     def test_an_order_alone_exposes_nobody(self, table, endpoints):
         table.offer(make_move(MovePhase.ORDERED), 0.0)
         for draw in (0.0, 0.5, 1.0):
-            allowed = table.allowed("app", endpoints, draw, first=True)
+            allowed = select(table, endpoints, draw)
             assert versions(allowed) == {"v1"}
 
     def test_a_running_move_stays_below_the_exposure(self, table, endpoints):
         table.offer(make_move(), 0.0)
         rng = random.Random(1)
         new = sum(
-            versions(table.allowed("app", endpoints, rng.random(), first=True))
-            == {"v2"}
+            versions(select(table, endpoints, rng.random())) == {"v2"}
             for _ in range(10_000)
         )
         assert 0 < new / 10_000 < EXPOSURE
 
     def test_repeats_go_to_the_old_version(self, table, endpoints):
         table.offer(make_move(), 0.0)
-        allowed = table.allowed("app", endpoints, 0.0, first=False)
+        allowed = select(table, endpoints, 0.0, first=False)
         assert versions(allowed) == {"v1"}
 
     def test_the_new_version_gets_the_load_of_an_old_endpoint(
         self, table, endpoints
     ):
         table.offer(make_move(), 0.0)
-        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        allowed = select(table, endpoints, 0.0)
         assert len(allowed) == 1
 
     def test_a_condemned_version_gets_nothing(self, table, endpoints):
@@ -96,7 +102,7 @@
         assert table.moves["app"].next_phase(1.0) is MovePhase.ROLLED_BACK
         new = [e for e in endpoints if e.version == "v2"]
         for usable in (endpoints, new):
-            allowed = table.allowed("app", usable, 0.0, first=True)
+            allowed = select(table, usable, 0.0)
             assert "v2" not in versions(allowed)
         # An outdated copy of the order has no effect.
         table.offer(make_move(), 2.0)
@@ -106,13 +112,13 @@
         self, table, endpoints
     ):
         table.offer(make_move(MovePhase.COMPLETED), 0.0)
-        allowed = table.allowed("app", endpoints, 0.9, first=True)
+        allowed = select(table, endpoints, 0.9)
         assert versions(allowed) == {"v2"}
 
     def test_another_order_starts_anew(self, table, endpoints):
         table.offer(make_move(MovePhase.ROLLED_BACK), 0.0)
         table.offer(make_move(MovePhase.ORDERED, "v3"), 5.0)
-        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        allowed = select(table, endpoints, 0.0)
         assert versions(allowed) == {"v1", "v2"}
         assert table.moves["app"].seen_s == 5.0
 
@@ -132,7 +138,7 @@
         assert followed.next_phase(60.0) is MovePhase.RUNNING
         table.offer(make_move(), 60.5)
         assert table.moves["app"].next_phase(61.0) is None
-        allowed = table.allowed("app", endpoints, 0.0, first=True)
+        allowed = select(table, endpoints, 0.0, now_s=60.0 + LIMIT_S)
         assert versions(allowed) == {"v2"}
 
     @pytest.mark.parametrize("stale", [MovePhase.ORDERED, MovePhase.RUNNING])
@@ -144,19 +150,19 @@
         table.offer(make_move(MovePhase.ROLLED_BACK), 5.0)
         table.offer(make_move(stale), 6.0, may_be_old=True)
         for draw in (0.0, 0.5, 1.0):
-            allowed = table.allowed("app", endpoints, draw, first=True)
+            allowed = select(table, endpoints, draw)
             assert versions(allowed) == {"v1"}
 
     def test_a_copy_may_be_ahead(self, table, endpoints):
         table.offer(make_move(), 0.0)
         table.offer(make_move(MovePhase.COMPLETED), 5.0, may_be_old=True)
-        allowed = table.allowed("app", endpoints, 0.5, first=True)
+        allowed = select(table, endpoints, 0.5)
         assert versions(allowed) == {"v2"}
 
     def test_a_withdrawn_order_frees_all_versions(self, table, endpoints):
         table.offer(make_move(), 0.0)
         table.withdraw("app")
-        allowed = table.allowed("app", endpoints, 0.5, first=True)
+        allowed = select(table, endpoints, 0.5)
         assert allowed == endpoints
 
     def test_baselines_of_former_routes_are_dropped(self, table, endpoints):
--- a/packages/guavalane-core/tests/moves/test_trial.py
+++ b/packages/guavalane-core/tests/moves/test_trial.py
@@ -8,7 +8,7 @@
 import pytest
 
 from guavalane_core.forwarding import MovePhase, VersionMove
-from guavalane_core.moves.table import MoveTable
+from guavalane_core.moves.table import DECISION_EVIDENCE, MoveTable
 from guavalane_core.moves.trial import MIN_ATTEMPTS, VersionTrial
 from guavalane_standins.forwarding_samples import make_endpoint
 
@@ -131,7 +131,7 @@
         for seed in range(20):
             load = Load(seed)
             assert load.run(30) is None, seed
-            assert load.nodes[0].unmet_requirement() == ""
+            assert load.nodes[0].unmet_requirement(DECISION_EVIDENCE) == ""
             assert load.nodes[0].attempts() == load.new_attempts
 
     def test_a_version_that_fails_is_condemned(self):
@@ -180,11 +180,11 @@
         load = Load(1)
         trial = load.nodes[0]
         assert trial.judge(0.0) == ""
-        assert trial.unmet_requirement()
+        assert trial.unmet_requirement(DECISION_EVIDENCE)
         for _ in range(MIN_ATTEMPTS - 1):
             record(trial, "notes", is_new=True, elapsed_s=0.1)
         assert trial.judge(1.0) == ""
-        assert trial.unmet_requirement()
+        assert trial.unmet_requirement(DECISION_EVIDENCE)
 
     def test_a_repeated_report_counts_once(self):
         trial, other = VersionTrial(), VersionTrial()
@@ -234,16 +234,21 @@
                     node.offer(move, now_s)
             for _ in range(int(rng.expovariate(1 / (self.RATE * 0.05)) + 0.5)):
                 node = rng.choice(table)
+                route = rng.choice(self.ROUTES)
                 allowed = node.allowed(
                     "app",
                     endpoints,
                     rng.random(),
+                    route=route,
+                    now_s=now_s,
                     first=True,
                     nodes=self.NODES,
                 )
                 endpoint = rng.choice(allowed)
                 streams.append(
-                    Stream(node, endpoint, now_s, slowdown, rng, gives_up_s)
+                    Stream(
+                        node, endpoint, route, now_s, slowdown, rng, gives_up_s
+                    )
                 )
             streams = [s for s in streams if s.advance(now_s)]
             if step % 5 or now_s < order_s:
@@ -304,7 +309,7 @@
                             now_s=now_s,
                         )
             trial.judge(now_s)
-        assert "plans" in trial.unmet_requirement()
+        assert "plans" in trial.unmet_requirement(DECISION_EVIDENCE)
 
 
 class Stream:
@@ -313,13 +318,14 @@
     Args:
       node: Move table of the node that forwards it.
       endpoint: Endpoint.
+      route: Name of the route.
       now_s: Time of its start in seconds.
       slowdown: Factor on the times of the new version.
       rng: Source of its length and speed.
       gives_up_s: Time after which its caller gives up.
     """
 
-    def __init__(self, node, endpoint, now_s, slowdown, rng, gives_up_s):
+    def __init__(self, node, endpoint, route, now_s, slowdown, rng, gives_up_s):
         factor = slowdown if endpoint.version == "v2" else 1.0
         self._node = node
         self._endpoint = endpoint
@@ -328,7 +334,6 @@
         self._next_s = now_s + 0.1 * factor * rng.lognormvariate(0, 0.3)
         self._left = max(1, int(rng.lognormvariate(3.5, 0.7)))
         self._gives_up_s = gives_up_s
-        route = rng.choice(TestSlowVersion.ROUTES)
         self._sample = node.begin_attempt(endpoint, route, now_s)
 
     def advance(self, now_s):
@@ -382,7 +387,7 @@
                 )
             if trial.judge(second + 1.0):
                 return False
-        return not trial.unmet_requirement()
+        return not trial.unmet_requirement(DECISION_EVIDENCE)
 
     def test_a_good_version_is_accepted_while_latencies_rise(self):
         undecided = [
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -195,6 +195,7 @@
         return select_endpoint(
             self._view,
             self._admitted.service,
+            self._admitted.route.name,
             self._request,
             self._progress.tried,
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/move_reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/move_reports.py
@@ -13,6 +13,9 @@
 from guavalane_core.moves.table import MoveTable
 from guavalane_core.moves.trial import VersionCount
 
+# Target of outcomes before the move, which are not those of any version.
+BEFORE_MOVE = ""
+
 
 def make_outcomes(moves: MoveTable) -> Iterator[MoveOutcomes]:
     """Yields the outcomes that a node has counted for its running moves."""
@@ -20,17 +23,9 @@
         if moves.running(service) is None:
             continue
         for count in tracked.trial.counts:
-            yield MoveOutcomes(
-                service=service,
-                target=tracked.move.target,
-                route=count.route,
-                is_new=count.is_new,
-                requests=count.counts.requests,
-                errors=count.counts.errors,
-                rejected=count.counts.rejected,
-                latency_buckets=pack_buckets(count.counts.latency),
-                gap_buckets=pack_buckets(count.counts.gaps),
-            )
+            yield _encode_count(service, tracked.move.target, count)
+        for count in tracked.trial.baseline:
+            yield _encode_count(service, BEFORE_MOVE, count)
 
 
 def apply_outcomes(moves: MoveTable, report: NodeReport) -> None:
@@ -39,10 +34,31 @@
     for outcomes in report.moves:
         key = (outcomes.service, outcomes.target)
         counts.setdefault(key, []).append(_decode_count(outcomes))
+    process = (report.node, report.incarnation)
     for (service, target), move_counts in counts.items():
         tracked = moves.running(service)
-        if tracked is not None and tracked.move.target == target:
-            tracked.trial.report(report.node, report.incarnation, move_counts)
+        if tracked is None:
+            continue
+        if target == tracked.move.target:
+            tracked.trial.report(*process, move_counts)
+        elif target == BEFORE_MOVE:
+            tracked.trial.report_baseline(*process, move_counts)
+
+
+def _encode_count(
+    service: str, target: str, count: VersionCount
+) -> MoveOutcomes:
+    return MoveOutcomes(
+        service=service,
+        target=target,
+        route=count.route,
+        is_new=count.is_new,
+        requests=count.counts.requests,
+        errors=count.counts.errors,
+        rejected=count.counts.rejected,
+        latency_buckets=pack_buckets(count.counts.latency),
+        gap_buckets=pack_buckets(count.counts.gaps),
+    )
 
 
 def _decode_count(outcomes: MoveOutcomes) -> VersionCount:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -22,6 +22,7 @@
 def select_endpoint(
     view: NodeView,
     service: Service,
+    route: str,
     request: CallerRequest,
     tried: Collection[str],
 ) -> Candidate | None:
@@ -30,13 +31,18 @@
     Args:
       view: Shared state of the node.
       service: Service of the request.
+      route: Name of the route of the request.
       request: Request.
       tried: Endpoints that were already attempted.
     """
-    candidates = _candidates(view, service, request, tried, first=not tried)
+    candidates = _candidates(
+        view, service, route, request, tried, first=not tried
+    )
     if not candidates and not tried:
         # An endpoint of the version under trial may be full or ejected.
-        candidates = _candidates(view, service, request, tried, first=False)
+        candidates = _candidates(
+            view, service, route, request, tried, first=False
+        )
     zone = view.settings.zone
     if service.engine is None or request.prompt is None:
         if view.node_count > MAX_NODES_FULL_COMPARISON:
@@ -73,6 +79,7 @@
 def _candidates(
     view: NodeView,
     service: Service,
+    route: str,
     request: CallerRequest,
     tried: Collection[str],
     *,
@@ -84,6 +91,8 @@
         service.name,
         view.directory.usable(service.name),
         view.rng.random(),
+        route=route,
+        now_s=now_s,
         first=first,
         nodes=view.node_count,
     )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -63,7 +63,9 @@
         self._usage = UsageCounts(settings.usage_window_s)
         self._peers: dict[str, str] = {}
         self._relay_candidates: dict[str, RelayCandidate] = {}
-        self._moves = MoveTable(settings.exposure, settings.exposure_slack)
+        self._moves = MoveTable(
+            settings.exposure, settings.exposure_slack, self._rng
+        )
         self._quarantines = QuarantineTable()
         self._endpoint_rates = EndpointRateLimits(settings.name, rng)
         self._configuration_delays = ConfigurationDelays()
