--- a/Makefile
+++ b/Makefile
@@ -24,12 +24,14 @@
 test: setup
 	$(BIN)/python -m pytest
 
-# SEEDS and FIRST choose the seeds; see docs/developer-guide/contributing.md.
+# SEEDS and FIRST choose the seeds, SHEET a site file of operators; see
+# docs/developer-guide/contributing.md.
 SEEDS ?= 5
 FIRST ?= 1
 soak: setup
 	PYTHONPATH=platform:platform/standins \
-		$(BIN)/python -m soak.run --first $(FIRST) --seeds $(SEEDS)
+		$(BIN)/python -m $(if $(SHEET),soak.sheet_run --sheet $(SHEET),soak.run) \
+		--first $(FIRST) --seeds $(SEEDS)
 
 bench: setup
 	$(BIN)/python -m bench.run
--- /dev/null
+++ b/tests/platform/soak/test_repeats.py
@@ -0,0 +1,208 @@
+"""Tests that each rule on repeats is found broken, and only then."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from soak.history import Arrival, CallerRequest, History
+from soak.repeats import (
+    MAX_EXCESSIVE_REQUESTS,
+    MAX_EXCESSIVE_TIMES,
+    REPEAT_CHECKS,
+)
+from soak.sheet import read_sheet
+
+SITE = pathlib.Path(__file__).with_name("small-site.toml")
+# Requests in the window of a history, and the repeats that are allowed then.
+REQUESTS = 100
+ALLOWED = 40
+
+
+@pytest.fixture(scope="module")
+def sheet():
+    """Returns the small installation."""
+    return read_sheet(SITE)
+
+
+class Play:
+    """Made-up history of requests."""
+
+    def __init__(self, sheet):
+        self.history = History()
+        self.excused = set()
+        self._sheet = sheet
+
+    def send(self, number, at_s=100.0, route="balance"):
+        """Adds a request of a caller and returns its identifier."""
+        request = CallerRequest(
+            f"q-{number}", route, "edge-1", at_s, 1.5, at_s + 1.0, 200
+        )
+        self.history.requests.append(request)
+        return request.request_id
+
+    def arrive(self, request_id, at_s=100.0, endpoint="i-1", **changes):
+        """Adds an arrival that has run for 0.1 s."""
+        values = {
+            "service": "ledger",
+            "time_limit_s": 1.0,
+            "has_run": True,
+            "ended_s": at_s + 0.1,
+        }
+        arrival = Arrival(
+            request_id=request_id,
+            endpoint=endpoint,
+            at_s=at_s,
+            **{**values, **changes},
+        )
+        self.history.arrivals.append(arrival)
+
+    def check(self, name):
+        """Returns the violations that a check finds."""
+        check = REPEAT_CHECKS.get(name)
+        return list(check(self._sheet, self.history, self._excuses))
+
+    def _excuses(self, name, start_s, end_s):
+        return name in self.excused
+
+
+@pytest.fixture
+def play(sheet):
+    """Returns an empty history."""
+    return Play(sheet)
+
+
+class TestSheet:
+    """Guards against an installation that is read wrongly."""
+
+    def test_counts_and_rates_come_from_the_file(self, sheet):
+        assert sheet.nodes == 3
+        assert {s.name: s.endpoints for s in sheet.services.values()} == {
+            "writer": 2,
+            "ledger": 2,
+        }
+        rates = {name: route.per_s for name, route in sheet.routes.items()}
+        assert rates == {"draft": 12.0, "entry": 6.0, "balance": 6.0}
+        assert sheet.retries.slack == 20.0
+        assert sheet.services["writer"].is_engine
+        assert not sheet.services["ledger"].is_engine
+
+
+class TestRetryBudget:
+    """Guards against a check that counts runs instead of arrivals."""
+
+    def fill(self, play, repeats, *, at_s=100.0, has_run=False):
+        """Adds requests over three windows, and repeats at a time."""
+        for number in range(3 * REQUESTS):
+            sent_s = 80.0 + number * 10.0 / REQUESTS
+            request_id = play.send(number, sent_s)
+            play.arrive(request_id, sent_s, has_run=has_run)
+        for number in range(repeats):
+            play.arrive("q-0", at_s + number * 0.001, "i-2", has_run=has_run)
+
+    @pytest.mark.parametrize("has_run", [True, False])
+    def test_arrivals_count_even_if_they_are_rejected(self, play, has_run):
+        self.fill(play, ALLOWED, has_run=has_run)
+        assert play.check("retry_budget") == []
+        play.arrive("q-0", 100.5, "i-2", has_run=has_run)
+        assert play.check("retry_budget")
+
+    def test_the_largest_of_three_windows_counts(self, play):
+        self.fill(play, ALLOWED, at_s=109.9)
+        assert play.check("retry_budget") == []
+
+    def test_requests_long_before_do_not(self, play):
+        self.fill(play, ALLOWED, at_s=131.0)
+        assert play.check("retry_budget")
+
+    def test_each_service_has_its_own_budget(self, play):
+        self.fill(play, ALLOWED)
+        request_id = play.send("other", route="draft")
+        for _ in range(20):
+            play.arrive(request_id, service="writer")
+        assert play.check("retry_budget") == []
+        for _ in range(2):
+            play.arrive(request_id, service="writer")
+        assert play.check("retry_budget")
+
+
+class TestMaxAttempts:
+    """Guards against a check that blames endpoints that were cut off."""
+
+    def fill(self, play, requests):
+        """Adds requests that ran at one endpoint too many."""
+        for number in range(requests):
+            request_id = play.send(number)
+            for endpoint in ("i-1", "i-2", "i-3"):
+                play.arrive(request_id, endpoint=endpoint)
+
+    def test_a_few_requests_are_allowed(self, play):
+        self.fill(play, MAX_EXCESSIVE_REQUESTS)
+        assert play.check("max_attempts") == []
+
+    def test_more_are_not(self, play):
+        self.fill(play, MAX_EXCESSIVE_REQUESTS + 1)
+        assert play.check("max_attempts")
+        play.excused.add("i-2")
+        assert play.check("max_attempts") == []
+
+    def test_rejections_do_not_count(self, play):
+        self.fill(play, MAX_EXCESSIVE_REQUESTS + 1)
+        for arrival in play.history.arrivals:
+            arrival.has_run = arrival.endpoint != "i-3"
+        assert play.check("max_attempts") == []
+
+
+class TestTimeLimits:
+    """Guards against endpoints that work on when the caller has left."""
+
+    @pytest.mark.parametrize("limit_s", [None, 2.1])
+    def test_more_time_than_the_caller_has(self, play, limit_s):
+        for number in range(MAX_EXCESSIVE_TIMES):
+            play.arrive(play.send(number), time_limit_s=limit_s)
+        assert play.check("time_limits") == []
+        play.arrive(play.send(MAX_EXCESSIVE_TIMES), time_limit_s=limit_s)
+        assert play.check("time_limits")
+
+    def test_a_fifth_of_the_requests_is_allowed(self, play):
+        for number in range(5 * (MAX_EXCESSIVE_TIMES + 1)):
+            is_excessive = number % 5 == 0
+            limit_s = 3.0 if is_excessive else 1.0
+            play.arrive(play.send(number), time_limit_s=limit_s)
+        assert play.check("time_limits") == []
+
+    @pytest.mark.parametrize(("limit_s", "broken"), [(0.3, False), (1.3, True)])
+    def test_a_repeat_may_not_start_the_time_anew(self, play, limit_s, broken):
+        for number in range(MAX_EXCESSIVE_TIMES + 1):
+            request_id = play.send(number)
+            play.arrive(request_id, time_limit_s=1.0)
+            play.arrive(request_id, 100.7, "i-2", time_limit_s=limit_s)
+        assert bool(play.check("time_limits")) == broken
+
+
+class TestRunsAtTheSameTime:
+    """Guards against a check that overlooks a run that goes on."""
+
+    def test_a_run_that_ends_in_time_is_allowed(self, play):
+        request_id = play.send(1, route="draft")
+        play.arrive(request_id, 100.0, ended_s=102.3)
+        play.arrive(request_id, 102.0, "i-2", ended_s=103.0)
+        assert play.check("one_endpoint_at_a_time") == []
+
+    @pytest.mark.parametrize("party", ["i-1", "edge-1"])
+    def test_a_run_that_goes_on_is_not(self, play, party):
+        request_id = play.send(1, route="draft")
+        play.arrive(request_id, 100.0, ended_s=102.5)
+        play.arrive(request_id, 102.0, "i-2", ended_s=103.0)
+        assert play.check("one_endpoint_at_a_time")
+        play.excused.add(party)
+        assert play.check("one_endpoint_at_a_time") == []
+
+    def test_a_request_that_must_not_be_repeated(self, play):
+        request_id = play.send(1, route="entry")
+        play.arrive(request_id)
+        play.arrive(request_id, endpoint="i-2", has_run=False)
+        assert play.check("at_most_once") == []
+        play.arrive(request_id, endpoint="i-2")
+        assert play.check("at_most_once")
