Close the socket of a cancelled connection once

Cause: uvloop 0.22 and the socket object both close the descriptor if create_connection(sock=...) is cancelled before uvloop has taken the socket over. A node cancels it when a caller leaves, at the connect timeout and at the deadline.

Change: the programs run on a loop that does this step in a task of its own and closes the connection when it is open and nobody waits for it.

Evidence: test_no_descriptor_of_another_connection_is_closed and test_no_connection_is_left_open fail on the loop of uvloop and hold on this one.

--- a/packages/guavalane-entry/src/guavalane_entry/main.py
+++ b/packages/guavalane-entry/src/guavalane_entry/main.py
@@ -13,11 +13,11 @@
 os.environ["UV_USE_IO_URING"] = "0"
 
 import fire
-import uvloop
 
 from guavalane_core.exceptions import ConfigurationError
 from guavalane_core.settings import load_settings
 from guavalane_entry import logs
+from guavalane_entry.event_loop import EventLoop
 from guavalane_entry.node import EntryNode
 
 EXIT_BAD_SETTINGS = 2
@@ -49,7 +49,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     logs.configure(loaded.log)
     gc.set_threshold(GC_THRESHOLD)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=EventLoop) as runner:
         runner.run(_run(loaded))
 
 
