--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -26,6 +26,8 @@
 # Time after a disturbance within which the operators expect a node to reach the
 # store again, in seconds.
 CONTACT_LIMIT_S = 3.0
+# Time from the start of a process in which it imports its modules, in seconds.
+STARTING_S = 0.15
 TOKEN_COUNT = "1200,60"
 STREAM_BODY = b"".join(
     f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 11)
@@ -224,6 +226,18 @@
             node.signal(signal.SIGHUP)
             await wait_for(lambda: '["zone"]' in node.read_log(), 5)
 
+    async def test_a_signal_does_not_end_a_process_that_starts(self):
+        """Guards against SIGHUP before its handler is installed."""
+        async with Deployment(1) as deployment:
+            node = deployment.nodes[0]
+            node.end()
+            node.start()
+            await asyncio.sleep(STARTING_S)
+            while not await deployment.is_ready(node):
+                node.signal(signal.SIGHUP)
+                assert node.process.poll() is None
+                await asyncio.sleep(0.02)
+
 
 class TestDuties:
     """Guards against usage that is reported twice or not at all."""
