Keep silent streams while their endpoint can be reached

Cause: silence of three of the route's longest gaps counts as the end of a run. An engine that preempts is silent and sound, and some engines go on with a request whose channel closes. And a stream was broken off before the node had checked the retry budget, another endpoint, suspect parts and the stop.

Change: a silent stream is broken off only if another attempt would be made. An endpoint that accepts a connection gets 0.75 of the time after which callers abandon a stream; one that does not gets none. Stalled streams that no other endpoint would get are checked again every 0.5 s. The soak has endpoints that keep requests whose channel closes, and preemptions.

Evidence: test_a_silent_endpoint_that_can_be_reached_gets_time and the three cases of test_a_stream_is_kept_that_no_other_endpoint_would_get fail before.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/configuration.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/configuration.py
@@ -50,6 +50,8 @@
       prefix_affinity: Whether requests benefit from an endpoint that has
           processed the beginning of their prompt.
       resumable: Whether another endpoint can continue a broken stream.
+      patience_s: Time without an event after which callers abandon a stream,
+          in seconds; 0 if it is not known.
     """
 
     name: str
@@ -65,6 +67,7 @@
     public: bool = False
     prefix_affinity: bool = False
     resumable: bool = False
+    patience_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/packages/guavalane-core/src/guavalane_core/forwarding/stalls.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/stalls.py
@@ -10,6 +10,9 @@
 ROUTE_GAP_FACTOR = 3.0
 RECENT_GAP_FACTOR = 1.5
 MIN_SILENCE_S = 1.0
+# Fraction of the callers' patience after which a stream stalls although its
+# endpoint can be reached. Another endpoint needs the rest for its first event.
+PATIENCE_FRACTION = 0.75
 # Period in which the longest gap of an endpoint is kept, in seconds. The gap of
 # the period before counts as well.
 GAP_PERIOD_S = 5.0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from guavalane_core.forwarding import Endpoint
+from guavalane_core.tasks import cancel_tasks
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.http_connection import (
     BoundedConnector,
@@ -154,30 +155,49 @@
 
     def __init__(self) -> None:
         self._buffers = BodyBuffers()
+        # Running checks by address of the endpoint.
+        self._checks: dict[str, asyncio.Task[bool]] = {}
         self._repeatable = _open_session(REPEATABLE_IDLE_TIMEOUT_S)
         self._non_repeatable = _open_session(NON_REPEATABLE_IDLE_TIMEOUT_S)
 
     async def close(self) -> None:
         """Closes all connections."""
+        await cancel_tasks(*self._checks.values())
         await self._repeatable.close()
         await self._non_repeatable.close()
 
+    async def is_reachable(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint accepts a connection.
+
+        Checks of the same endpoint at the same time share one connection.
+        """
+        check = self._checks.get(endpoint.address)
+        if check is None:
+            check = asyncio.create_task(self._accepts_connection(endpoint))
+            self._checks[endpoint.address] = check
+            check.add_done_callback(
+                lambda _: self._checks.pop(endpoint.address, None)
+            )
+        return await asyncio.shield(check)
+
+    async def _accepts_connection(self, endpoint: Endpoint) -> bool:
+        try:
+            await _open_and_close(endpoint)
+        except (OSError, TimeoutError, ValueError):
+            return False
+        return True
+
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Returns whether nothing listens on an endpoint's port.
 
         It is false if the endpoint does not respond at all.
         """
         try:
-            address = Address.parse(endpoint.address)
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(
-                    address.host, address.port
-                )
+            await _open_and_close(endpoint)
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError, ValueError):
             return False
-        writer.close()
         return False
 
     @contextlib.asynccontextmanager
@@ -243,6 +263,20 @@
             response.close()
 
 
+async def _open_and_close(endpoint: Endpoint) -> None:
+    """Opens a connection to an endpoint and closes it.
+
+    Raises:
+      OSError: The connection was refused or failed.
+      TimeoutError: The endpoint does not respond.
+      ValueError: The address is invalid.
+    """
+    address = Address.parse(endpoint.address)
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        _, writer = await asyncio.open_connection(address.host, address.port)
+    writer.close()
+
+
 def _open_session(idle_s: float) -> aiohttp.ClientSession:
     connector = BoundedConnector(
         limit=0,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -141,8 +141,22 @@
         return left_s > max(MIN_ATTEMPT_TIME_S, estimate_s or 0.0)
 
     def _can_continue_elsewhere(self) -> bool:
-        """Returns whether another endpoint could end the stream in time."""
-        if self._progress.runs + 1 >= self._admitted.route.max_endpoints:
+        """Returns whether another endpoint would and could end the stream.
+
+        These are the conditions for another attempt after the stream has been
+        broken off, when it is too late to keep it.
+        """
+        view = self._view
+        prompt = self._request.prompt
+        budget = view.retries(self._admitted.service.name)
+        if (
+            self._progress.runs + 1 >= self._admitted.route.max_endpoints
+            or self._find_quarantine() is not None
+            or view.quarantines.is_suspect(prompt)
+            or not budget.may_spend(self._now(), view.sharing_nodes)
+            or not self._can_end_before_stop()
+            or self._next_candidate() is None
+        ):
             return False
         estimate_s = self._view.durations.estimate_s(
             self._admitted.route.name, self._expected_tokens_left()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -12,6 +12,7 @@
     EventSplitter,
 )
 from guavalane_core.forwarding.events import EventTooLongError
+from guavalane_core.forwarding.stalls import PATIENCE_FRACTION
 from guavalane_core.placement import Work
 from guavalane_entry.gateway.admission import AdmittedRequest
 from guavalane_entry.gateway.components import GatewayComponents
@@ -25,6 +26,9 @@
 # A prompt that crashes endpoints does so when its output begins. One that has
 # had output for this long, in seconds, is not the cause of a later crash.
 SERVED_PERIOD_S = 0.5
+# Interval between checks of a stalled stream that no other endpoint could end,
+# in seconds.
+RECHECK_PERIOD_S = 0.5
 MISDIRECTED_REQUEST = 421
 REFUSAL_STATUSES = (408, 421, 429, 503)
 SERVER_ERROR = 500
@@ -232,7 +236,10 @@
         """Reads from a stream until it stalls.
 
         Bytes that complete no event do not extend the wait. A stalled stream is
-        read on if no other endpoint could end it in time.
+        read on if no other endpoint could end it in time. An endpoint that can
+        be reached may only have preempted it, and may go on with its work when
+        the stream is closed: it gets as much time as the callers' patience
+        leaves.
 
         Raises:
           BrokenResponseError: The stream stalled or is incomplete.
@@ -245,7 +252,9 @@
             )
             left_s = waiting_since_s + limit_s - self._now()
             if left_s <= 0 and not self._can_continue():
-                break
+                left_s = RECHECK_PERIOD_S
+            elif left_s <= 0:
+                left_s = await self._extend(endpoint, waiting_since_s)
             try:
                 async with asyncio.timeout(max(0.0, left_s)):
                     return await response.read_chunk()
@@ -256,6 +265,27 @@
                 raise BrokenResponseError("the stream stalled")
         return await response.read_chunk()
 
+    async def _extend(
+        self, endpoint: Endpoint, waiting_since_s: float
+    ) -> float:
+        """Returns for how much longer a silent endpoint is waited for."""
+        patience_s = PATIENCE_FRACTION * self._admitted.route.patience_s
+        if waiting_since_s + patience_s <= self._now():
+            return 0.0
+        is_reachable = await self._components.endpoint_client.is_reachable(
+            endpoint
+        )
+        left_s = waiting_since_s + patience_s - self._now()
+        left_s = max(0.0, left_s) if is_reachable else 0.0
+        self._components.log.request(
+            "attempt.silent",
+            self._request.request_id,
+            endpoint=endpoint.endpoint_id,
+            reachable=is_reachable,
+            waits_s=round(left_s, 3),
+        )
+        return left_s
+
     def _may_stall(self) -> bool:
         """Returns whether another endpoint may continue the stream."""
         return self._admitted.route.resumable and self._reply.started
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -28,9 +28,10 @@
 }
 
 
-def configuration(*, resumable):
+def configuration(*, resumable, patience_s=0.0):
     """Returns a configuration with one streaming route."""
     route = make_route(
+        patience_s=patience_s,
         delivery=Delivery.STREAM,
         resumable=resumable,
         max_endpoints=2,
@@ -92,6 +93,14 @@
     return script
 
 
+def use_up_retries(view):
+    """Uses all retries of the service that a node may make."""
+    budget = view.retries("app")
+    now_s = view.timers.now()
+    while budget.may_spend(now_s, view.sharing_nodes):
+        budget.spend(now_s)
+
+
 class TestStreams:
     """Guards against lost, duplicated or merged events."""
 
@@ -212,22 +221,92 @@
         )
         assert body == event(1) + event(2)
 
-    async def call_scripts(self, *scripts, longest_gap_s=0.0, duration_s=None):
+    async def test_a_silent_endpoint_that_can_be_reached_gets_time(self):
+        """Guards against a preempted stream that runs at two endpoints."""
+        body = await self.call_scripts(
+            slow_stream, stream(7, 8), patience_s=4.0
+        )
+        assert body == event(1) + event(2)
+
+    async def test_the_time_of_a_silent_endpoint_is_limited(self):
+        """Guards against a stalled stream that callers abandon first."""
+
+        async def stall(exchange):
+            await send_stream_header(exchange)
+            await send_chunk(exchange, event(1))
+            await exchange.wait_closed_by_peer()
+
+        body = await self.call_scripts(stall, stream(2, 3), patience_s=2.0)
+        assert body == event(1) + event(2) + event(3)
+
+    async def test_an_endpoint_that_cannot_be_reached_gets_none(self):
+        """Guards against callers that wait for a machine that is gone."""
+        began_s = asyncio.get_running_loop().time()
+
+        async def stall(exchange):
+            await send_stream_header(exchange)
+            await send_chunk(exchange, event(1))
+            await exchange.wait_closed_by_peer()
+
+        body = await self.call_scripts(
+            stall,
+            stream(2, 3),
+            patience_s=20.0,
+            hold_back=lambda view, endpoint, other: endpoint.stop_listening(),
+        )
+        assert body == event(1) + event(2) + event(3)
+        assert asyncio.get_running_loop().time() - began_s < 10.0
+
+    @pytest.mark.parametrize(
+        "hold_back",
+        [
+            lambda view, endpoint, other: view.stop_deadline.begin(2.2),
+            lambda view, endpoint, other: view.directory.remove(other, 0.0),
+            lambda view, endpoint, other: use_up_retries(view),
+        ],
+        ids=["stop", "endpoint", "budget"],
+    )
+    async def test_a_stream_is_kept_that_no_other_endpoint_would_get(
+        self, hold_back
+    ):
+        """Guards against a sound stream that is broken off for nothing."""
+        body = await self.call_scripts(
+            slow_stream, stream(7, 8), duration_s=1.5, hold_back=hold_back
+        )
+        assert body == event(1) + event(2)
+
+    async def call_scripts(
+        self,
+        *scripts,
+        longest_gap_s=0.0,
+        duration_s=None,
+        patience_s=0.0,
+        hold_back=lambda view, endpoint, other: None,
+    ):
         """Returns the body of a stream whose attempts run scripts in order.
 
         Args:
           *scripts: Scripts of the attempts.
           longest_gap_s: Recent gap between events of each endpoint.
           duration_s: Measured duration of the route; None without one.
+          patience_s: Time after which callers abandon a stream, in seconds.
+          hold_back: Called as the first attempt begins, with the view of the
+            node, the endpoint, and the name of the other one.
         """
-        async with GatewayRig(configuration(resumable=True)) as rig:
+        configured = configuration(resumable=True, patience_s=patience_s)
+        async with GatewayRig(configured) as rig:
             left = list(scripts)
+            endpoints = {}
 
             async def script(exchange):
+                if len(left) == len(scripts):
+                    name = exchange.request.header(NAMES.expected_endpoint)
+                    other = next(e for e in endpoints if e != name)
+                    hold_back(rig.view, endpoints[name], other)
                 await left.pop(0)(exchange)
 
             for name in ("e-1", "e-2"):
-                await rig.add_endpoint(script, name)
+                endpoints[name] = await rig.add_endpoint(script, name)
                 now_s = rig.view.timers.now()
                 rig.view.event_gaps.record(name, longest_gap_s, now_s)
             if duration_s is not None:
--- a/packages/guavalane-standins/src/guavalane_standins/scripted_endpoint.py
+++ b/packages/guavalane-standins/src/guavalane_standins/scripted_endpoint.py
@@ -122,9 +122,13 @@
             self._serve, "127.0.0.1", 0, limit=MAX_HEADER_BYTES
         )
 
+    def stop_listening(self) -> None:
+        """Refuses new connections; open ones go on."""
+        self._server.close()
+
     async def stop(self) -> None:
         """Stops listening."""
-        self._server.close()
+        self.stop_listening()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/platform/soak/test_sheet.py
+++ b/tests/platform/soak/test_sheet.py
@@ -14,6 +14,8 @@
 PLAYS = (
     # Nodes that did not know each other each used the retries of all.
     (3, ("nodes_restart_without_peers", "service_rejects")),
+    # A silent endpoint went on after its streams had moved to another one.
+    (5, ("endpoints_preempt",)),
     (4, ("responses_lost", "node_slow", "endpoints_reject")),
 )
 
