Let the baseline of a route adapt if callers give up

Cause: since the evidence of each route, the samples before a move are halved by the number of ended attempts, which stays 0 where all callers give up. The limit of a slow attempt would then come from long ago.

The case ends=False of test_a_baseline_adapts_to_the_load fails before.

--- a/packages/guavalane-core/src/guavalane_core/moves/table.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/table.py
@@ -169,7 +169,8 @@
         counts = routes[route] = routes.pop(route, None) or AttemptCounts()
         if len(routes) > MAX_BASELINE_ROUTES:
             del routes[next(iter(routes))]
-        if counts.requests >= MAX_BASELINE_SAMPLES:
+        samples = max(counts.requests, sum(counts.latency))
+        if samples >= MAX_BASELINE_SAMPLES:
             counts.halve()
         return counts
 
--- a/packages/guavalane-core/tests/moves/test_table.py
+++ b/packages/guavalane-core/tests/moves/test_table.py
@@ -7,7 +7,11 @@
 import pytest
 
 from guavalane_core.forwarding import MovePhase, VersionMove
-from guavalane_core.moves.table import MAX_BASELINE_ROUTES, MoveTable
+from guavalane_core.moves.table import (
+    MAX_BASELINE_ROUTES,
+    MAX_BASELINE_SAMPLES,
+    MoveTable,
+)
 from guavalane_standins.forwarding_samples import make_endpoint
 
 # Operators' limit on the fraction of a service's requests that a version under
@@ -177,6 +181,18 @@
         assert {"busy", "r199"} <= routes
         assert len(routes) == MAX_BASELINE_ROUTES
 
+    @pytest.mark.parametrize("ends", [True, False])
+    def test_a_baseline_adapts_to_the_load(self, table, endpoints, ends):
+        """Guards against a limit from long ago if callers give up."""
+        for number in range(3 * MAX_BASELINE_SAMPLES):
+            sample = table.begin_attempt(endpoints[0], "r", float(number))
+            sample.on_events(1, number + 0.1)
+            if ends:
+                sample.finish(number + 0.2, failed=False)
+        table.offer(make_move(), 1.0)
+        (count,) = table.moves["app"].trial.counts
+        assert sum(count.counts.latency) <= MAX_BASELINE_SAMPLES
+
 
 class TestFollowedMove:
     """Guards against moves that exceed their time or end without evidence."""
