Seed the rounding in the test of a version as fast as the old one

Cause: the tables of moves round with random numbers, which the test did not seed, so its verdict varied.

--- a/packages/guavalane-core/tests/moves/test_trial.py
+++ b/packages/guavalane-core/tests/moves/test_trial.py
@@ -218,7 +218,10 @@
           gives_up_s: Time after which callers give up.
         """
         rng = random.Random(seed)
-        table = [MoveTable(0.1, 50) for _ in range(self.NODES)]
+        table = [
+            MoveTable(0.1, 50, random.Random(1000 * seed + number))
+            for number in range(self.NODES)
+        ]
         endpoints = [
             make_endpoint(f"e-{version}-{n}", version=version)
             for version in ("v1", "v2")
