--- a/packages/guavalane-core/src/guavalane_core/moves/exposure.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/exposure.py
@@ -102,11 +102,6 @@
         self._used: dict[str, float] = {}
         self._exposed = 0
 
-    @property
-    def exposed(self) -> int:
-        """Requests of this node that were sent to the version under trial."""
-        return self._exposed
-
     def divide(
         self, routes: Mapping[str, RouteTraffic], requests_per_s: float
     ) -> None:
--- a/packages/guavalane-core/tests/forwarding/test_retries.py
+++ b/packages/guavalane-core/tests/forwarding/test_retries.py
@@ -13,6 +13,20 @@
 NODES = 7
 
 
+def assert_within_limit(requests, repeats):
+    """Asserts that the retries of every window are within the limit.
+
+    Args:
+      requests: Times of the requests of all nodes, in seconds.
+      repeats: Times of their retries, in seconds.
+    """
+    for start_s in range(0, 50):
+        end_s = start_s + WINDOW_S
+        asked = sum(start_s <= t < end_s for t in requests)
+        repeated = sum(start_s <= t < end_s for t in repeats)
+        assert repeated <= RATIO * asked + SLACK
+
+
 class TestSharedRetryBudget:
     """Guards against retries that overload a failing service."""
 
@@ -31,11 +45,7 @@
             while budget.may_spend(now_s, NODES):
                 budget.spend(now_s)
                 repeats.append(now_s)
-        for start_s in range(0, 50):
-            end_s = start_s + WINDOW_S
-            asked = sum(start_s <= t < end_s for t in requests)
-            repeated = sum(start_s <= t < end_s for t in repeats)
-            assert repeated <= RATIO * asked + SLACK
+        assert_within_limit(requests, repeats)
 
     def test_single_node_has_its_own_share(self):
         budget = SharedRetryBudget(RATIO, SLACK, WINDOW_S)
@@ -72,11 +82,7 @@
             while is_due and budget.may_spend(now_s, NODES):
                 budget.spend(now_s)
                 repeats.append(now_s)
-        for start_s in range(0, 50):
-            end_s = start_s + WINDOW_S
-            asked = sum(start_s <= t < end_s for t in requests)
-            repeated = sum(start_s <= t < end_s for t in repeats)
-            assert repeated <= RATIO * asked + SLACK
+        assert_within_limit(requests, repeats)
 
     def test_a_node_that_knows_no_other_uses_no_slack(self):
         """Guards against nodes that each use the slack of all."""
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -176,6 +176,23 @@
             for node in deployment.nodes:
                 assert (await deployment.call(node, "/once/x"))[0] == 503
 
+    async def test_changes_apply_after_some_connections_went_silent_for_good(
+        self,
+    ):
+        """Guards against a wait on a connection that never answers again."""
+        async with Deployment(3) as deployment:
+            await deployment.add_endpoint("i-app", "app")
+            await asyncio.sleep(0.3)
+            deployment.store.silence_connections(share=0.7)
+            config = make_config(7)
+            config["Routes"][0]["PathPrefix"] = "/new/"
+            deployment.store.put("config", "main", config)
+            deployment.store.remove("servers", "i-app")
+            await asyncio.sleep(CONTACT_LIMIT_S)
+            for node in deployment.nodes:
+                assert (await deployment.call(node, "/new/x"))[0] == 503
+                assert (await deployment.call(node, "/once/x"))[0] == 404
+
     async def test_the_configuration_is_kept_while_the_store_is_down(self):
         async with Deployment(1) as deployment:
             await deployment.add_endpoint("i-app", "app")
