Check refusals of requests that ran in the plays of a site file

The plays of an installation as real processes had no check of REFUSED, their check of TWICE passed over streams that cannot be resumed, and no endpoint sent a copy of a response late.

--- a/tests/platform/soak/test_repeats.py
+++ b/tests/platform/soak/test_repeats.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from soak.checks import REFUSALS
 from soak.history import Arrival, CallerRequest, History
 from soak.repeats import (
     MAX_EXCESSIVE_REQUESTS,
@@ -34,10 +35,10 @@
         self.excused = set()
         self._sheet = sheet
 
-    def send(self, number, at_s=100.0, route="balance"):
+    def send(self, number, at_s=100.0, route="balance", status=200):
         """Adds a request of a caller and returns its identifier."""
         request = CallerRequest(
-            f"q-{number}", route, "edge-1", at_s, 1.5, at_s + 1.0, 200
+            f"q-{number}", route, "edge-1", at_s, 1.5, at_s + 1.0, status
         )
         self.history.requests.append(request)
         return request.request_id
@@ -83,7 +84,12 @@
             "ledger": 2,
         }
         rates = {name: route.per_s for name, route in sheet.routes.items()}
-        assert rates == {"draft": 12.0, "entry": 6.0, "balance": 6.0}
+        assert rates == {
+            "draft": 12.0,
+            "notice": 6.0,
+            "entry": 6.0,
+            "balance": 6.0,
+        }
         assert sheet.retries.slack == 20.0
         assert sheet.services["writer"].is_engine
         assert not sheet.services["ledger"].is_engine
@@ -206,3 +212,36 @@
         assert play.check("at_most_once") == []
         play.arrive(request_id, endpoint="i-2")
         assert play.check("at_most_once")
+
+    def test_a_stream_that_cannot_be_resumed_must_not_be_repeated(self, play):
+        request_id = play.send(1, route="notice")
+        play.arrive(request_id)
+        play.arrive(request_id, endpoint="i-2")
+        assert play.check("at_most_once")
+
+
+class TestTrueRefusals:
+    """Guards against a check that overlooks a refused request that runs."""
+
+    @pytest.mark.parametrize("route", ["entry", "notice"])
+    @pytest.mark.parametrize("status", sorted(REFUSALS))
+    @pytest.mark.parametrize("at_s", [100.1, 103.0])
+    def test_a_refused_request_that_runs(self, play, route, status, at_s):
+        request_id = play.send(1, route=route, status=status)
+        play.arrive(request_id, at_s)
+        assert play.check("true_refusals")
+
+    def test_a_rejected_arrival_is_no_run(self, play):
+        request_id = play.send(1, route="entry", status=503)
+        play.arrive(request_id, has_run=False)
+        assert play.check("true_refusals") == []
+
+    @pytest.mark.parametrize("status", [200, 500, 502, 504, None])
+    def test_other_ends_promise_nothing(self, play, status):
+        play.arrive(play.send(1, route="entry", status=status))
+        assert play.check("true_refusals") == []
+
+    @pytest.mark.parametrize("route", ["balance", "draft"])
+    def test_requests_that_may_be_repeated(self, play, route):
+        play.arrive(play.send(1, route=route, status=503))
+        assert play.check("true_refusals") == []
