Keep the header timeout off requests that were already read

A caller that sent its next request before the response to the previous one had ended could get 408 for a request that ran: the end of the first request marked the connection as idle, and the body of the second one was then taken for the first bytes of a new header. For the same reason a planned stop closed the connection of the second request as idle. A process that was suspended between reading a request and starting its handler also wrote 408.

The connection now tells a header that was read from one that is incomplete: the timeout runs only without a parsed request, and a connection stays unanswered while a parsed request waits.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -199,6 +199,9 @@
         self._unanswered = unanswered
         self._header_since_s: float | None = None
         self._handled = False
+        # Whether the header of a request was read whose handler has not
+        # started.
+        self._has_waiting = False
         self._reply: ConnectionReply | None = None
 
     @property
@@ -215,10 +218,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Processes bytes from a caller."""
-        if not self.busy:
-            self._unanswered.add(self)
-            self._header_since_s = self._timers.now()
+        self._unanswered.add(self)
         super().data_received(data)
+        if self._messages:
+            self._has_waiting = True
+        if self._handled or self._has_waiting:
+            # A pause before its handler starts must not count as header time:
+            # the handler runs even if the connection was closed with 408.
+            self._header_since_s = None
+        elif self._header_since_s is None:
+            self._header_since_s = self._timers.now()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Discards a request that no handler has started."""
@@ -227,8 +236,10 @@
             self._unanswered.discard(self)
 
     def begin_request(self, reply: ConnectionReply) -> None:
-        """Records that the header of a request was read."""
+        """Records that the handler of a request has started."""
+        self._unanswered.add(self)
         self._handled = True
+        self._has_waiting = bool(self._messages)
         self._reply = reply
         self._header_since_s = None
 
@@ -241,7 +252,8 @@
         """Records that a request was answered."""
         self._handled = False
         self._reply = None
-        self._unanswered.discard(self)
+        if not self._has_waiting or self.transport is None:
+            self._unanswered.discard(self)
 
     def time_out_header(self) -> None:
         """Closes the connection with 408, as its header takes too long."""
