Skip late copies of other responses instead of ending the attempt

An endpoint may send a second copy of a response late, where the response to the next request of its connection is expected. The node took the wrong ID for a broken attempt: a request that must not be repeated got 502 although its endpoint answered it, and a stream went on at another endpoint while the first one, which need not drop a request whose connection closes, worked on.

The connection now knows the ID of the response it waits for and skips up to four responses with another ID and a body of 64 KB or less; more end the attempt as before. Only connections that were used before are concerned, and responses that mark their own end.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -16,7 +16,9 @@
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.http_connection import (
     BoundedConnector,
+    ResponseIdentity,
     current_protocol,
+    expected_identity,
     was_reset,
 )
 from guavalane_entry.http_session import make_keepalive_socket, make_session
@@ -104,6 +106,11 @@
         """
         return self.protocol.is_first_request
 
+    @property
+    def skipped_copies(self) -> int:
+        """Late copies of other responses that came before this one."""
+        return self.protocol.skipped_copies
+
     def header(self, name: str) -> str | None:
         """Returns a header; None if it is missing."""
         return self.response.headers.get(name)
@@ -210,11 +217,21 @@
         body: bytes,
         *,
         repeatable: bool,
+        identity: ResponseIdentity | None = None,
     ) -> AsyncIterator[EndpointResponse]:
         """Sends a request and yields the response once its headers arrive.
 
         The connection is closed unless the complete response was read.
 
+        Args:
+          endpoint: Endpoint.
+          method: HTTP method.
+          target: Path and query.
+          headers: Headers in order.
+          body: Body.
+          repeatable: Whether the request may run more than once.
+          identity: Identity of its response, if the endpoint marks responses.
+
         Raises:
           NotSentError: No connection was established.
           BrokenResponseError: The connection broke, or the bytes are not
@@ -226,6 +243,7 @@
         except ValueError as error:
             raise NotSentError(repr(error)) from error
         url = URL(f"http://{address}{target}", encoded=True)
+        token = expected_identity.set(identity)
         try:
             response = await session.request(
                 method,
@@ -241,6 +259,8 @@
             raise NotSentError(repr(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise BrokenResponseError(repr(error)) from error
+        finally:
+            expected_identity.reset(token)
         protocol = current_protocol.get()
         try:
             yield EndpointResponse(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -43,6 +43,7 @@
     ResponseForwarder,
 )
 from guavalane_entry.gateway.selection import limit_waits_s, select_endpoint
+from guavalane_entry.http_connection import ResponseIdentity
 
 # Maximum attempts per request, including those that reached no endpoint.
 MAX_ATTEMPTS = 4
@@ -386,6 +387,10 @@
             headers,
             self._request.body,
             repeatable=admitted.route.repeatable,
+            identity=ResponseIdentity(
+                self._components.codec.names.request_id,
+                self._request.request_id,
+            ),
         ) as response:
             return await self._response_forwarder.handle(
                 endpoint, response, work
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -81,6 +81,13 @@
         """
         names = self._components.codec.names
         self._progress.last_status = response.status
+        if response.skipped_copies:
+            self._components.log.request(
+                "attempt.copies_skipped",
+                self._request.request_id,
+                endpoint=endpoint.endpoint_id,
+                copies=response.skipped_copies,
+            )
         named = response.header(names.request_id)
         if named is not None and named != self._request.request_id:
             raise BrokenResponseError("the response has another request ID")
--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import aiohttp
+import attrs
 from aiohttp.client_proto import ResponseHandler
 from loguru import logger as log
 
@@ -17,6 +18,10 @@
 MAX_FRAMING_RATIO = 8
 # Interim responses (1xx) before the final one.
 MAX_INTERIM_RESPONSES = 16
+# Late copies of other responses that are skipped before the response to a
+# request, and the size of the body of one of them in bytes.
+MAX_SKIPPED_COPIES = 4
+MAX_SKIPPED_BODY_BYTES = 64 * 1024
 
 # Body of a response of another node or of the platform above which it is broken
 # off, in bytes. The smallest nodes have 200 MB.
@@ -29,16 +34,44 @@
 )
 
 
+@attrs.frozen
+class ResponseIdentity:
+    """Header by which a server marks the response to a request.
+
+    Attributes:
+      header: Name of the header.
+      value: Its value in the response to the request.
+    """
+
+    header: str
+    value: str
+
+
+# Identity of the response to the request that the current task sends next, if
+# its server marks responses.
+expected_identity: contextvars.ContextVar[ResponseIdentity | None] = (
+    contextvars.ContextVar("expected_identity", default=None)
+)
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Protocol that closes a connection whose bytes never form a response.
 
     The parser limits lines and headers, but skips any number of blank lines
     before a response, interim responses, and digits and extensions of a chunk
     size.
+
+    A server may send a copy of a response late, on a connection that is in use
+    again. If responses are marked, a copy is skipped: the server still works on
+    the request, which must not go on elsewhere.
     """
 
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
+        self._identity: ResponseIdentity | None = None
+        self._skipped_copies = 0
+        # Whether the body that is read belongs to a copy.
+        self._is_skipping = False
         self._received = 0
         self._interim_responses = 0
         self._body: Any = None
@@ -49,9 +82,21 @@
         """Whether the connection was not used for an earlier request."""
         return self._requests == 1
 
-    def begin_response(self) -> None:
-        """Resets the limits for the response to the next request."""
+    @property
+    def skipped_copies(self) -> int:
+        """Late copies of other responses before the last response."""
+        return self._skipped_copies
+
+    def begin_response(self, identity: ResponseIdentity | None = None) -> None:
+        """Resets the limits for the response to the next request.
+
+        Args:
+          identity: Identity of that response, if the server marks responses.
+        """
         self._requests += 1
+        self._identity = identity
+        self._skipped_copies = 0
+        self._is_skipping = False
         self._received = 0
         self._interim_responses = 0
         self._body = None
@@ -63,8 +108,29 @@
             self._interim_responses += 1
         else:
             self._body = body
+            self._is_skipping = self._is_late_copy(message, body)
+            if self._is_skipping:
+                self._skipped_copies += 1
+                return
         super().feed_data(data, size)
 
+    def _is_late_copy(self, message: Any, body: Any) -> bool:
+        """Returns whether a response belongs to an earlier request."""
+        if (
+            self._identity is None
+            or self.is_first_request
+            or self._skipped_copies >= MAX_SKIPPED_COPIES
+        ):
+            return False
+        value = message.headers.get(self._identity.header)
+        # A body without a length would swallow the response to the request.
+        has_end = (
+            "Content-Length" in message.headers
+            or message.chunked
+            or body is aiohttp.streams.EMPTY_PAYLOAD
+        )
+        return value is not None and value != self._identity.value and has_end
+
     def data_received(self, data: bytes) -> None:
         """Receives bytes of the connection."""
         super().data_received(data)
@@ -74,6 +140,7 @@
         limit = MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
         is_endless = (
             framing_bytes > limit
+            or (self._is_skipping and body_bytes > MAX_SKIPPED_BODY_BYTES)
             or self._interim_responses > MAX_INTERIM_RESPONSES
         )
         if is_endless and self.transport is not None:
@@ -111,7 +178,7 @@
         while True:
             connection = await super().connect(*args, **kwargs)
             if not connection.protocol.should_close:
-                connection.protocol.begin_response()
+                connection.protocol.begin_response(expected_identity.get())
                 current_protocol.set(connection.protocol)
                 return connection
             connection.close()
