Tell revisions of the store by era and revision

A store that comes back from a copy gives out revisions again. A watch went on from a revision of the time before, which by then meant another history: it got no 410 and never saw what had been written in between. A conditional write could apply to another state of its object.

A version is now a position of era and revision (Store-Era, in all answers). Positions of different eras are never continued: a watch lists again as soon as any kind is answered in a new era, a relay's followers do as well, a conditional write from an earlier era is a conflict, answers of an era that has passed are not used, and neither are copies of other nodes from one. A store without the header keeps bare revisions, also between nodes. store.restored and the gauge store_era show the return.

--- a/packages/guavalane-core/src/guavalane_core/exceptions.py
+++ b/packages/guavalane-core/src/guavalane_core/exceptions.py
@@ -82,11 +82,19 @@
 
 
 class ObjectNotFoundError(ObjectApiError):
-    """The object does not exist."""
+    """The object does not exist.
+
+    Attributes:
+      era: Era of the object API that does not have it; 0 if it has no eras.
+    """
 
     code = "object_not_found"
     status = 404
 
+    def __init__(self, message: str, era: int = 0) -> None:
+        super().__init__(message)
+        self.era = era
+
 
 class ObjectConflictError(ObjectApiError):
     """A conditional write was rejected because the object has changed."""
--- a/packages/guavalane-core/src/guavalane_core/objects/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/__init__.py
@@ -17,6 +17,7 @@
     PriorityObjectApi,
 )
 from guavalane_core.objects.memory import MemoryObjectApi
+from guavalane_core.objects.position import Position, era_of
 from guavalane_core.objects.writer import ConditionalWriter
 
 __all__ = [
@@ -29,7 +30,9 @@
     "ObjectEvent",
     "ObjectMetadata",
     "PollableObjectApi",
+    "Position",
     "PriorityObjectApi",
     "StatusApi",
     "StoredObject",
+    "era_of",
 ]
--- a/packages/guavalane-core/src/guavalane_core/objects/memory.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/memory.py
@@ -26,6 +26,7 @@
     ObjectMetadata,
     StoredObject,
 )
+from guavalane_core.objects.position import Position
 
 DEFAULT_HISTORY_EVENTS = 1000
 LEASES = "leases"
@@ -67,6 +68,19 @@
     watches: int = 0
 
 
+@attrs.frozen
+class MemoryCopy:
+    """Copy of all objects of a `MemoryObjectApi`.
+
+    Attributes:
+      revision: Revision at which it was made.
+      objects: Objects by kind and name.
+    """
+
+    revision: int
+    objects: Mapping[tuple[str, str], StoredObject]
+
+
 class MemoryObjectApi:
     """Stores objects in a dict; supports conditional updates and watches.
 
@@ -77,6 +91,7 @@
 
     def __init__(self, history_events: int = DEFAULT_HISTORY_EVENTS) -> None:
         self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._era = 0
         self._revision = 0
         self._history: deque[tuple[int, ObjectEvent]] = deque(
             maxlen=history_events
@@ -97,7 +112,7 @@
         await self._simulate_network()
         stored = self._objects.get((kind, name))
         if stored is None:
-            raise ObjectNotFoundError(f"{kind}/{name}")
+            raise ObjectNotFoundError(f"{kind}/{name}", self._era)
         return stored.metadata
 
     async def list(self, kind: str) -> tuple[list[StoredObject], str]:
@@ -109,7 +124,7 @@
             for (stored_kind, _), stored in sorted(self._objects.items())
             if stored_kind == kind
         ]
-        return found, str(self._revision)
+        return found, self._version()
 
     async def list_metadata(
         self, kind: str
@@ -122,7 +137,7 @@
             for (stored_kind, _), stored in sorted(self._objects.items())
             if stored_kind == kind
         ]
-        return found, str(self._revision)
+        return found, self._version()
 
     async def create(
         self,
@@ -179,14 +194,38 @@
         self.faults.down = down
         self._notify_watches()
 
+    def take_copy(self) -> MemoryCopy:
+        """Returns a copy of all objects."""
+        return MemoryCopy(self._revision, copy.deepcopy(self._objects))
+
+    def restore(self, earlier: MemoryCopy) -> None:
+        """Comes back from an earlier copy, in the next era."""
+        self._era += 1
+        self._revision = earlier.revision
+        self._history.clear()
+        self._objects = {
+            key: attrs.evolve(
+                copy.deepcopy(stored),
+                version=str(
+                    Position(self._era, Position.parse(stored.version).revision)
+                ),
+            )
+            for key, stored in earlier.objects.items()
+        }
+        self._notify_watches()
+
+    def _version(self) -> str:
+        return str(Position(self._era, self._revision))
+
     async def _follow(
         self, kind: str, version: str
     ) -> AsyncIterator[ObjectEvent]:
         self.calls.watches += 1
         await self._simulate_network()
-        seen = int(version)
+        position = Position.parse(version)
+        seen = position.revision
         while True:
-            if seen < self._oldest_watchable():
+            if position.era != self._era or seen < self._oldest_watchable():
                 raise WatchGapError(f"version {seen} is too old")
             changed = self._changed
             for revision, event in list(self._history):
@@ -241,7 +280,7 @@
         stored = StoredObject(
             kind,
             name,
-            str(self._revision),
+            self._version(),
             copy.deepcopy(body),
             sequence,
             dict(annotations or {}),
@@ -255,7 +294,7 @@
     def _get_copy(self, kind: str, name: str) -> StoredObject:
         stored = self._objects.get((kind, name))
         if stored is None:
-            raise ObjectNotFoundError(f"{kind}/{name}")
+            raise ObjectNotFoundError(f"{kind}/{name}", self._era)
         return copy.deepcopy(stored)
 
     def _check_version(self, kind: str, name: str, version: str) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
@@ -17,7 +17,7 @@
 from guavalane_core.timers import Timers
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.reports import PeerReports
-from guavalane_entry.gateway.watch import KindWatch
+from guavalane_entry.gateway.watch import KindWatch, latest_era
 from guavalane_entry.http_connection import BoundedConnector, read_bounded
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 
@@ -154,13 +154,27 @@
             objects = await self._fetch(name, node)
             if objects is not None and not is_needed():
                 return
-            if objects is not None:
+            if objects is not None and not self._is_outdated(
+                name, node, objects
+            ):
                 self._watches[name].merge_copy(objects)
                 self._log.event(
                     "copy.read", kind=name, peer=node, objects=len(objects)
                 )
                 return
 
+    def _is_outdated(
+        self, name: str, node: str, objects: list[StoredObject]
+    ) -> bool:
+        """Returns whether a copy is of an earlier era than the own objects."""
+        era, known = latest_era(objects), self._watches[name].era
+        if not objects or era >= known:
+            return False
+        self._log.event(
+            "copy.outdated", kind=name, peer=node, era=era, known=known
+        )
+        return True
+
     async def _fetch(self, name: str, node: str) -> list[StoredObject] | None:
         address = self._reports.address_of(node)
         if address is None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -339,6 +339,7 @@
             "configuration_behind_seconds": lambda: (
                 view.configuration_delays.summary(self._timers.now())
             ),
+            "store_era": lambda: {"": view.store_era.era},
             "requests_active": lambda: {"": self._callers.active},
             "endpoints_known": lambda: {"": len(view.directory)},
             "peers": lambda: {
@@ -440,6 +441,7 @@
                 functools.partial(
                     self._metrics.record, "watch_age_at_change", name
                 ),
+                self._view.store_era,
             )
             for name, (kind, sink) in kinds.items()
         }
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -29,6 +29,7 @@
 from guavalane_entry.gateway.configuration_delays import ConfigurationDelays
 from guavalane_entry.gateway.settings import GatewaySettings
 from guavalane_entry.gateway.stop_deadline import StopDeadline
+from guavalane_entry.gateway.store_era import StoreEra
 
 # Fraction of the allotment tolerance that a node uses deliberately. The rest
 # covers use by other nodes that is not reported yet.
@@ -81,6 +82,7 @@
         self._durations = RouteDurations()
         self._event_gaps = EventGaps()
         self._stop_deadline = StopDeadline(timers)
+        self._store_era = StoreEra(timers)
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
         self._rates: dict[str, EngineRates] = {}
@@ -187,6 +189,11 @@
         """Time left for requests while the node stops."""
         return self._stop_deadline
 
+    @property
+    def store_era(self) -> StoreEra:
+        """Era of the object API."""
+        return self._store_era
+
     @property
     def sent(self) -> Mapping[str, DemandTotals]:
         """Totals that this process has sent, by service."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
 from loguru import logger as log
@@ -14,11 +14,13 @@
     ObjectEvent,
     PollableObjectApi,
     StoredObject,
+    era_of,
 )
 from guavalane_core.tasks import cancel_tasks, start_supervised
 from guavalane_core.timers import Timers
 from guavalane_entry.gateway.availability import ApiAvailability
 from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.store_era import StoreEra
 
 # Longest wait of one poll, in seconds. Long polls save calls to the object API,
 # which are rate-limited. TCP keep-alive probes detect most broken connections;
@@ -35,6 +37,11 @@
 MAX_PROBE_BACKOFF_S = 0.4
 
 
+def latest_era(objects: Iterable[StoredObject]) -> int:
+    """Returns the latest era of the versions of objects; 0 without any."""
+    return max((era_of(stored.version) for stored in objects), default=0)
+
+
 class KindSink:
     """Receiver of the objects of one kind."""
 
@@ -50,6 +57,13 @@
         """Applies one change."""
         raise NotImplementedError
 
+    def on_restored(self) -> None:
+        """Called before the first list of an object API that is restored.
+
+        What it acknowledged shortly before may be missing from the list, or
+        older in it, and is partly written again.
+        """
+
     def on_api_lost(self) -> None:
         """Called when the object API stops answering."""
 
@@ -61,7 +75,9 @@
     """Lists a kind and then polls for its changes.
 
     After a failed call it lists again: an object API that has dropped its
-    history may keep a poll from an old version open without any event.
+    history may keep a poll from an old version open without any event. It also
+    lists again as soon as any response tells of a new era, as its version is
+    then that of another history.
 
     Args:
       api: Object API.
@@ -71,6 +87,7 @@
       log: Decision log.
       rng: Source of jitter.
       availability: Availability of the object API, shared with the other kinds.
+      store_era: Era of the object API, shared with the other kinds.
       on_change: Called at each change with the time since the previous response
           in seconds, which is the greatest possible age of the change.
     """
@@ -85,6 +102,7 @@
         rng: random.Random,
         availability: ApiAvailability | None = None,
         on_change: Callable[[float], None] | None = None,
+        store_era: StoreEra | None = None,
     ) -> None:
         self._api = api
         self._kind = kind
@@ -93,6 +111,9 @@
         self._log = log
         self._rng = rng
         self._availability = availability or ApiAvailability()
+        self._store_era = store_era or StoreEra(timers)
+        # Era of the objects.
+        self._era = 0
         self._on_change = on_change
         self._version: str | None = None
         self._last_response_s: float | None = None
@@ -116,6 +137,11 @@
         """Known objects by name."""
         return self._objects
 
+    @property
+    def era(self) -> int:
+        """Era of the object API that the objects are of."""
+        return self._era
+
     @property
     def lost(self) -> bool:
         """Whether the last call to the object API failed."""
@@ -156,6 +182,7 @@
 
     def merge_copy(self, objects: list[StoredObject]) -> None:
         """Replaces the objects with the copy of a peer."""
+        self._era = max(self._era, latest_era(objects))
         self._store_objects(objects)
         self._sink.merge(objects)
 
@@ -166,7 +193,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                await self._step_unless_recovered()
+                await self._step_unless_interrupted()
             except WatchGapError:
                 self._log.event("store.gap", kind=self._kind)
                 self._version = None
@@ -181,45 +208,55 @@
                 await self._back_off(ObjectApiError(repr(error)))
                 self._version = None
 
-    async def _step_unless_recovered(self) -> None:
-        """Runs a step; in an outage, restarts its call on recovery."""
-        is_lost = self._lost_since_s is not None
-        if is_lost and await self._completes_before_recovery(self._step()):
+    async def _step_unless_interrupted(self) -> None:
+        """Runs a step; restarts it on recovery and in a new era."""
+        if self.lost:
+            signal = self._availability.wait_recovered()
+        elif self._version is not None:
+            signal = self._store_era.wait_above(era_of(self._version))
+        else:
+            await self._step()
             return
-        await self._step()
+        if not await self._completes_before(signal, self._step()):
+            self._version = None
+            await self._step()
 
-    async def _completes_before_recovery(
-        self, work: Coroutine[Any, Any, None]
+    async def _completes_before(
+        self,
+        signal: Coroutine[Any, Any, None],
+        work: Coroutine[Any, Any, None],
     ) -> bool:
-        """Runs work until the object API recovers.
+        """Runs work until a signal.
 
         Returns:
           Whether the work completed before that.
         """
-        task = asyncio.create_task(work)
-        signal = asyncio.create_task(self._availability.wait_recovered())
+        tasks = asyncio.create_task(work), asyncio.create_task(signal)
         try:
-            await asyncio.wait(
-                {task, signal}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if task.done():
-                task.result()
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if tasks[0].done():
+                tasks[0].result()
                 return True
             return False
         finally:
-            await cancel_tasks(task, signal)
+            await cancel_tasks(*tasks)
 
     async def _step(self) -> None:
         if self._version is None:
             objects, version = await self._api.list(self._kind)
             if self.listed and self._differ(objects):
                 self._record_change(len(objects))
+            self._on_era(era_of(version))
             self._on_response()
             self._store_objects(objects)
             self._sink.replace_all(objects)
             self._version = version
             return
         batch = await self._api.poll(self._kind, self._version, POLL_WAIT_S)
+        if era_of(batch.version) != era_of(self._version):
+            raise WatchGapError(
+                f"{self._kind}: {batch.version} is of a new era"
+            )
         if batch.events:
             self._record_change(len(batch.events))
         self._on_response()
@@ -227,6 +264,16 @@
             self._apply(event)
         self._version = batch.version
 
+    def _on_era(self, era: int) -> None:
+        """Records the era of a list."""
+        if (self.listed or self._objects) and era > self._era:
+            self._log.event(
+                "store.restored", kind=self._kind, era=era, previous=self._era
+            )
+            self._sink.on_restored()
+        self._era = era
+        self._store_era.observe(era)
+
     def _apply(self, event: ObjectEvent) -> None:
         if event.deleted:
             self._objects.pop(event.object.name, None)
@@ -274,4 +321,4 @@
         delay_s = min(longest_s, INITIAL_BACKOFF_S * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         pause = self._timers.sleep(delay_s * (0.5 + self._rng.random()))
-        await self._completes_before_recovery(pause)
+        await self._completes_before(self._availability.wait_recovered(), pause)
--- a/packages/guavalane-entry/src/guavalane_entry/relays/followed_kind.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/followed_kind.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from guavalane_core.objects import ObjectBatch
+from guavalane_core.objects import ObjectBatch, Position
 
 # Maximum number of buffered batches per kind.
 MAX_BATCHES = 256
@@ -19,8 +19,8 @@
     """Buffer of changes of one kind, received from a relay.
 
     Attributes:
-      start: Version after which all changes are known.
-      version: Version up to which all changes are known.
+      start: Position after which all changes are known.
+      version: Position up to which all changes are known.
       confirmed_s: Time at or before the last response of the object API to the
           relay, on the monotonic clock of this node; None while the relay gets
           none.
@@ -32,8 +32,8 @@
       changed: Set when changes arrive or the data of the relay is outdated.
     """
 
-    start: int
-    version: int
+    start: Position
+    version: Position
     confirmed_s: float | None = None
     lists: int = 0
     listed_s: float = -math.inf
@@ -59,23 +59,30 @@
         else:
             self.listed_s = min(self.listed_s, listed_s)
 
-    def append(self, since: int, batch: ObjectBatch) -> None:
-        """Appends changes, and discards earlier ones if there is a gap."""
+    def append(self, since: Position, batch: ObjectBatch) -> None:
+        """Appends changes, and discards earlier ones if there is a gap.
+
+        A new era of the object API is a gap.
+        """
         if since > self.version:
             self.start = since
             self.batches.clear()
         if len(self.batches) == MAX_BATCHES:
-            self.start = int(self.batches[0].version)
-        self.version = max(self.version, int(batch.version))
+            self.start = Position.parse(self.batches[0].version)
+        self.version = max(self.version, Position.parse(batch.version))
         if batch.events:
             self.batches.append(batch)
 
-    def changes_after(self, version: int) -> ObjectBatch:
-        """Returns the changes after a version, which must be covered."""
+    def covers(self, version: Position) -> bool:
+        """Returns whether all changes after a position are known."""
+        return self.start <= version and version.era == self.version.era
+
+    def changes_after(self, version: Position) -> ObjectBatch:
+        """Returns the changes after a position, which must be covered."""
         events = [
             event
             for batch in self.batches
-            if int(batch.version) > version
+            if Position.parse(batch.version) > version
             for event in batch.events
         ]
         return ObjectBatch(tuple(events), str(max(version, self.version)))
--- a/packages/guavalane-entry/src/guavalane_entry/relays/link.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/link.py
@@ -16,7 +16,7 @@
     RelayedBatch,
     RelayHeartbeat,
 )
-from guavalane_core.objects import ObjectBatch
+from guavalane_core.objects import ObjectBatch, Position
 from guavalane_core.objects.relays import RelayCandidate, choose_relays
 from guavalane_core.tasks import cancel_tasks, start_supervised
 from guavalane_core.timers import Timers
@@ -127,7 +127,7 @@
             return False
         if urgent and now_s - known.confirmed_s > MAX_AGE_S:
             return False
-        return known.start <= int(version)
+        return known.covers(Position.parse(version))
 
     def is_broken_since(self, kind: str, since_s: float) -> bool:
         """Returns whether the changes received since a time may be incomplete.
@@ -149,13 +149,13 @@
         known = self._kinds.get(kind)
         return (
             known is not None
-            and known.start > int(version)
+            and known.start > Position.parse(version)
             and self.covers(kind, str(known.start), urgent=urgent)
         )
 
     def changes(self, kind: str, version: str) -> ObjectBatch:
         """Returns the changes after a version; see `covers`."""
-        return self._kinds[kind].changes_after(int(version))
+        return self._kinds[kind].changes_after(Position.parse(version))
 
     async def wait(self, kind: str, timeout_s: float, *, urgent: bool) -> None:
         """Waits until the relay reports a change or its data is outdated.
@@ -268,7 +268,7 @@
             self._pinged_s = None
 
     def _on_batch(self, message: RelayedBatch) -> None:
-        since = int(message.since)
+        since = Position.parse(message.since)
         known = self._kinds.get(message.kind)
         if known is None:
             known = FollowedKind(since, since)
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -6,6 +6,7 @@
 import functools
 import random
 
+import attrs
 import cbor2
 import pytest
 
@@ -25,6 +26,7 @@
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.listener import StatusListener
 from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.store_era import StoreEra
 from guavalane_entry.gateway.watch import (
     MAX_PROBE_BACKOFF_S,
     KindSink,
@@ -86,6 +88,34 @@
             await self._changed.wait()
 
 
+class RestoredApi(FakeApi):
+    """Object API with eras whose revisions are given out again."""
+
+    def __init__(self):
+        super().__init__()
+        self.era = 1
+
+    def restore(self, revision, objects):
+        """Comes back from a copy."""
+        self.era += 1
+        self.revision = revision
+        self.objects = dict(objects)
+
+    def put(self, name, body):
+        super().put(name, body)
+        self.objects[name] = attrs.evolve(
+            self.objects[name], version=f"{self.era}.{self.revision}"
+        )
+
+    async def list(self, kind):
+        objects, version = await super().list(kind)
+        return objects, f"{self.era}.{version}"
+
+    async def poll(self, kind, version, wait_s):
+        # A response that does not come: the connection is silent.
+        await asyncio.Event().wait()
+
+
 class RecordingSink(KindSink):
     """Sink that records objects and calls."""
 
@@ -103,6 +133,9 @@
     def apply(self, event):
         self.bodies[event.object.name] = event.object.body
 
+    def on_restored(self):
+        self.calls.append(f"restored after {sorted(self.bodies)}")
+
     def on_api_lost(self):
         self.calls.append("lose")
 
@@ -110,12 +143,20 @@
         self.calls.append("regain")
 
 
-def make_watch(api, timers=None):
+def make_watch(api, timers=None, store_era=None):
     """Returns a watch and its sink."""
     timers = timers or LoopTimers()
     log = DecisionLog("n1", timers.wall)
     sink = RecordingSink()
-    watch = KindWatch(api, "things", sink, timers, log, random.Random(1))
+    watch = KindWatch(
+        api,
+        "things",
+        sink,
+        timers,
+        log,
+        random.Random(1),
+        store_era=store_era,
+    )
     return watch, sink
 
 
@@ -125,6 +166,35 @@
         await asyncio.sleep(0)
 
 
+class TestNewEra:
+    """Guards against objects of a history that has ended."""
+
+    async def test_a_waiting_watch_lists_again_when_another_kind_tells(self):
+        api, store_era = RestoredApi(), StoreEra(LoopTimers())
+        api.put("lost", {})
+        watch, sink = make_watch(api, store_era=store_era)
+        watch.start()
+        await run_ready_tasks()
+        assert sorted(sink.bodies) == ["lost"]
+        api.restore(1, {})
+        api.put("new", {})
+        store_era.observe(api.era)
+        await run_ready_tasks()
+        assert sorted(sink.bodies) == ["new"]
+        assert sink.calls == ["restored after ['lost']"]
+        assert watch.era == 2
+        await watch.stop()
+
+    async def test_the_first_list_is_not_taken_for_a_return(self):
+        api = RestoredApi()
+        api.era = 5
+        watch, sink = make_watch(api)
+        watch.start()
+        await run_ready_tasks()
+        assert sink.calls == []
+        await watch.stop()
+
+
 class TestKindWatch:
     """Guards against changes that a node misses."""
 
@@ -472,6 +542,30 @@
         await watch.stop()
         server.close()
 
+    async def test_a_copy_of_an_earlier_era_is_not_used(self):
+        watch, sink = make_watch(FakeApi())
+        watch.merge_copy([StoredObject("things", "a", "2.5", {"n": 2})])
+        address = Address("127.0.0.1", free_port())
+        body = cbor2.dumps([["a", "1.9", {"n": 1}, {}]])
+        listener = StatusListener(
+            address, {PATH + "things": lambda: (200, body)}
+        )
+        await listener.start()
+        timers = LoopTimers()
+        reader = CopyReader(
+            {"things": watch},
+            FakeReports(str(address)),
+            lambda: 0,
+            timers,
+            DecisionLog("n2", timers.wall),
+            random.Random(1),
+        )
+        reader.start()
+        await reader._read("things", ["n1"], lambda: True)
+        assert sink.bodies == {"a": {"n": 2}}
+        await reader.stop()
+        await listener.stop()
+
     def test_invalid_copies_are_rejected(self):
         for data in (b"", b"\x00", b"\x81\x01", b"\xff"):
             with pytest.raises(ValueError):
