Give peers the configuration in force, not the object read last

After a store came back older, the object that a watch had read last was older than the configuration in force. A node that was behind asked its peer for the newer one every 0.4 s and got that object again (copy.read with in_force false), so it stayed behind until the next change.

A kind's sink now decides what a peer gets; for the configuration it is the object in force, under the position of the object read last, so that a peer of the same era does not reject it. test_peers_get_the_one_in_force covers an older object in the store and none; the code before had no such choice.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/copies.py
@@ -36,7 +36,7 @@
         return 503, b""
     objects = [
         [stored.name, stored.version, stored.body, dict(stored.status)]
-        for stored in watch.objects.values()
+        for stored in watch.copy()
     ]
     return 200, cbor2.dumps(objects)
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Generic, TypeVar
 
+import attrs
+
 from guavalane_core.exceptions import ConfigurationError
 from guavalane_core.forwarding import (
     Endpoint,
@@ -67,7 +69,38 @@
 
 
 class ConfigurationSink(_DecodingSink[ForwardingConfiguration]):
-    """Applies each newer configuration."""
+    """Applies each newer configuration.
+
+    Peers get the object in force: an object API that comes back from a copy
+    may show an older one for a while.
+
+    Args:
+      view: Shared state, which is updated.
+      decode: Function that decodes a stored configuration.
+      log: Decision log.
+    """
+
+    def __init__(
+        self,
+        view: NodeView,
+        decode: ConfigurationDecoder,
+        log: DecisionLog,
+    ) -> None:
+        super().__init__(view, decode, log)
+        self._in_force: StoredObject | None = None
+
+    def to_copy(
+        self, objects: Mapping[str, StoredObject]
+    ) -> Iterable[StoredObject]:
+        """Returns the objects that a peer gets; see `KindSink`."""
+        kept = self._in_force
+        if kept is None:
+            return objects.values()
+        read = objects.get(kept.name, kept)
+        return {
+            **objects,
+            kept.name: attrs.evolve(kept, version=read.version),
+        }.values()
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
@@ -87,6 +120,8 @@
         if configuration is None:
             return
         in_force = self._view.update_configuration(configuration)
+        if in_force:
+            self._in_force = stored
         self._log.event(
             "configuration.offered",
             version=configuration.version,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -57,6 +57,16 @@
         """Applies one change."""
         raise NotImplementedError
 
+    def to_copy(
+        self, objects: Mapping[str, StoredObject]
+    ) -> Iterable[StoredObject]:
+        """Returns the objects that a peer gets, which are not always the last.
+
+        Args:
+          objects: Objects that were read last, by name.
+        """
+        return objects.values()
+
     def on_restored(self) -> None:
         """Called before the first list of an object API that is restored.
 
@@ -142,6 +152,10 @@
         """Era of the object API that the objects are of."""
         return self._era
 
+    def copy(self) -> list[StoredObject]:
+        """Returns the objects for a peer that asks for them."""
+        return list(self._sink.to_copy(self._objects))
+
     @property
     def lost(self) -> bool:
         """Whether the last call to the object API failed."""
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -4,15 +4,20 @@
 
 import random
 
+import attrs
 import pytest
 
 from guavalane_core.exceptions import ConfigurationError
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.sinks import EndpointSink
+from guavalane_entry.gateway.sinks import ConfigurationSink, EndpointSink
 from guavalane_entry.gateway.view import NodeView
-from guavalane_standins.forwarding_samples import make_endpoint
+from guavalane_standins.forwarding_samples import (
+    make_configuration,
+    make_endpoint,
+    make_route,
+)
 from guavalane_standins.gateway_rig import make_settings
 
 # Time within which a node must stop sending requests to a removed endpoint, in
@@ -140,3 +145,41 @@
             harness.sink.apply(ObjectEvent(stored))
         harness.sink.apply(ObjectEvent(make_stored("e-4", version="v2")))
         assert harness.new_versions == 1
+
+
+class TestConfigurationAfterAReturn:
+    """Guards against a configuration in force that is lost or goes back."""
+
+    @pytest.fixture
+    def sink(self):
+        """Sink that has version 9 in force; its view is `sink.view`."""
+        timers = ManualTimers()
+        view = NodeView(make_settings(), timers, random.Random(1))
+        sink = ConfigurationSink(
+            view,
+            lambda stored: attrs.evolve(
+                make_configuration(make_route()), version=stored.body["version"]
+            ),
+            DecisionLog("n1", timers.wall),
+        )
+        sink.view = view
+        sink.replace_all([self._store("1.20", 9)])
+        return sink
+
+    def _store(self, position, version):
+        return StoredObject("config", "main", position, {"version": version})
+
+    def test_an_older_one_in_the_store_changes_nothing(self, sink):
+        sink.on_restored()
+        sink.replace_all([self._store("2.11", 8)])
+        assert sink.view.table.configuration.version == 9
+
+    @pytest.mark.parametrize("listed", [True, False])
+    def test_peers_get_the_one_in_force(self, sink, listed):
+        older = self._store("2.11", 8)
+        sink.on_restored()
+        sink.replace_all([older] if listed else [])
+        (copy,) = sink.to_copy({"main": older} if listed else {})
+        assert copy.body == {"version": 9}
+        # A peer that knows of the return takes no copy of an earlier era.
+        assert copy.version == ("2.11" if listed else "1.20")
