Go on reporting usage after the store has lost what was stored

After a return, usage was not reported any more if the object was created in the seconds that were lost (duty.failed with object_not_found until the end of the process: the duty loaded nothing, kept its old state and tried to replace an object that does not exist).

The counts of a holder that keeps the lease stay in force and are stored again, by a create if the object is gone. They carry the era in which they were stored: a new holder that finds counts of an earlier era, or none, does not report windows that were settled when it first heard of the present one.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/usage_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/usage_duty.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
 from guavalane_core.exceptions import ObjectApiError, ObjectNotFoundError
 from guavalane_core.leases import LeaseHolder
-from guavalane_core.objects import ConditionalWriter, StoredObject
+from guavalane_core.objects import ConditionalWriter, StoredObject, era_of
 from guavalane_entry.gateway.duties import DUTIES, DutyContext
 from guavalane_entry.gateway.reports import report_period_s
 
@@ -41,12 +42,17 @@
     Attributes:
       window: Number of the window.
       counts: Requests by organisation.
-      stored: Object that holds them.
+      era: Era of the object API in which they were stored.
     """
 
     window: int
     counts: dict[str, int]
-    stored: StoredObject
+    era: int
+
+    @classmethod
+    def from_body(cls, body: Mapping[str, Any]) -> _FinalizedWindow:
+        """Parses a stored body; those of earlier builds have no era."""
+        return cls(body["window"], dict(body["counts"]), body.get("era", 0))
 
 
 @DUTIES.register("usage")
@@ -54,7 +60,10 @@
     """Stores the counts of a window in the object API, then reports them.
 
     A new duty holder reads the counts that its predecessor may have reported
-    and reports exactly the same ones.
+    and reports exactly the same ones. If the object API has come back from an
+    older copy, the counts of later windows are lost. The holder that stored
+    them still knows them; another one reports no window that its predecessor
+    may have reported, as its own counts could differ.
 
     Args:
       context: Dependencies of duties.
@@ -67,8 +76,12 @@
         self._cloud = context.cloud
         self._log = context.log
         self._finalized: _FinalizedWindow | None = None
+        # Object that is replaced next; None if there is none.
+        self._stored: StoredObject | None = None
         self._loaded = False
         self._reported: int | None = None
+        # Windows up to this one may have been reported with lost counts.
+        self._lost_window: int | None = None
 
     async def step(self, lease: LeaseHolder) -> None:
         """Reports the windows that are due."""
@@ -87,42 +100,61 @@
 
     async def _load(self) -> None:
         try:
-            stored = await self._api.get(KIND, NAME)
-        except ObjectNotFoundError:
-            stored = None
-        if stored is not None:
-            self._finalized = _FinalizedWindow(
-                stored.body["window"], dict(stored.body["counts"]), stored
-            )
+            self._stored = await self._api.get(KIND, NAME)
+            found = _FinalizedWindow.from_body(self._stored.body)
+            era = era_of(self._stored.version)
+        except ObjectNotFoundError as error:
+            self._stored = found = None
+            era = error.era
+        self._view.store_era.observe(era)
+        known = self._finalized
+        if known is None and (found is None or found.era < era):
+            self._lost_window = self._newest_window(self._view.store_era.age_s)
+        if known is None or (found is not None and found.window > known.window):
+            self._finalized = found
+        elif found is None or found.window < known.window:
+            # The lease was held since these counts were stored.
+            self._log.event("usage.kept", window=known.window, era=era)
         self._loaded = True
 
-    def _next_window(self) -> int | None:
-        usage = self._view.usage
+    def _newest_window(self, age_s: float = 0.0) -> int:
+        """Returns the newest window that is settled, or was some time ago."""
         wait_s = settle_time_s(
             self._view.node_count, self._view.settings.usage_due_s
         )
-        newest = usage.window_at(self._view.clock.now() - wait_s) - 1
+        now_s = self._view.clock.now() - age_s
+        return self._view.usage.window_at(now_s - wait_s) - 1
+
+    def _next_window(self) -> int | None:
+        usage = self._view.usage
+        newest = self._newest_window()
         if self._finalized is None:
-            return usage.oldest_window(newest)
-        window = self._finalized.window + 1
-        # Windows whose counts all nodes have discarded cannot be reported.
-        window = max(window, newest - usage.retained_windows)
-        return window if window <= newest else None
+            window = usage.oldest_window(newest)
+        else:
+            # Windows whose counts all nodes have discarded cannot be reported.
+            window = max(
+                self._finalized.window + 1, newest - usage.retained_windows
+            )
+        if window is not None and self._lost_window is not None:
+            window = max(window, self._lost_window + 1)
+        return window if window is not None and window <= newest else None
 
     async def _finalize(self, window: int) -> None:
         counts = self._view.usage.total(window)
-        body: dict[str, Any] = {"window": window, "counts": counts}
+        era = self._view.store_era.era
+        body: dict[str, Any] = {"window": window, "counts": counts, "era": era}
         try:
-            if self._finalized is None:
+            if self._stored is None:
                 stored = await self._writer.create(KIND, NAME, body)
             else:
-                stored = await self._writer.update(self._finalized.stored, body)
+                stored = await self._writer.update(self._stored, body)
         except ObjectApiError:
-            # This write or that of another holder may have taken effect; the
-            # stored object is authoritative.
+            # This write or that of another holder may have taken effect, or
+            # the object API may have lost it; the object is read again.
             self._loaded = False
             raise
-        self._finalized = _FinalizedWindow(window, counts, stored)
+        self._stored = stored
+        self._finalized = _FinalizedWindow(window, counts, era)
 
     async def _report(
         self, lease: LeaseHolder, finalized: _FinalizedWindow
--- a/packages/guavalane-entry/tests/gateway/test_usage_duty.py
+++ b/packages/guavalane-entry/tests/gateway/test_usage_duty.py
@@ -122,6 +122,75 @@
         assert len(deployment.cloud.figures) >= before + 2
 
 
+class TestReturnOfAnOlderStore:
+    """Guards against usage that is lost, or reported twice, after a return."""
+
+    @pytest.fixture
+    def deployment(self):
+        """Deployment of two nodes with a request in each of four windows."""
+        deployment = Deployment()
+        for _ in range(2):
+            deployment.add_node()
+        self._pass_windows(deployment, 4)
+        return deployment
+
+    def _pass_windows(self, deployment, count):
+        for _ in range(count):
+            for view in deployment.views:
+                view.usage.add("org", deployment.timers.wall())
+            deployment.timers.advance(WINDOW_S)
+
+    async def _steps(self, deployment, duty):
+        for _ in range(10):
+            await deployment.step(duty)
+
+    def _count_reports(self, deployment):
+        return {w: len(f) for w, f in deployment.cloud.figures.items()}
+
+    @pytest.mark.parametrize("is_created", [True, False])
+    async def test_the_holder_goes_on(self, deployment, is_created):
+        duty = deployment.make_duty(0)
+        if not is_created:
+            await self._steps(deployment, duty)
+        earlier = deployment.api.take_copy()
+        self._pass_windows(deployment, 2)
+        await self._steps(deployment, duty)
+        before = set(deployment.cloud.figures)
+        deployment.api.restore(earlier)
+        self._pass_windows(deployment, 2)
+        await self._steps(deployment, duty)
+        assert len(set(deployment.cloud.figures) - before) == 2
+        assert set(self._count_reports(deployment).values()) == {1}
+
+    @pytest.mark.parametrize("is_created", [True, False])
+    async def test_the_next_holder_repeats_no_window_with_other_counts(
+        self, deployment, is_created
+    ):
+        duty = deployment.make_duty(0)
+        if not is_created:
+            await self._steps(deployment, duty)
+        earlier = deployment.api.take_copy()
+        self._pass_windows(deployment, 2)
+        await self._steps(deployment, duty)
+        before = set(deployment.cloud.figures)
+        deployment.api.restore(earlier)
+        # The next holder counts a late request, and has heard of the return.
+        late_s = deployment.timers.wall() - 2 * WINDOW_S
+        deployment.views[1].usage.add("org", late_s)
+        deployment.views[1].store_era.observe(1)
+        self._pass_windows(deployment, 3)
+        await self._steps(deployment, deployment.make_duty(1))
+        for figures in deployment.cloud.figures.values():
+            assert all(other == figures[0] for other in figures)
+        assert len(set(deployment.cloud.figures) - before) >= 2
+
+    async def test_a_holder_reports_from_the_start_without_a_return(
+        self, deployment
+    ):
+        await self._steps(deployment, deployment.make_duty(0))
+        assert len(deployment.cloud.figures) >= 2
+
+
 class UsageMachine(RuleBasedStateMachine):
     """Holders that change, overlap and fail; each window has one figure."""
 
