Keep one holder of a lease when the store comes back older

A lease that the store showed after a return was taken for the last one: a restarted node took it over at once, and a lease that was missing was created at once, while the holder of the lost seconds still acted.

A lease now tells the era in which it was written. One of an earlier era, or none in a store with eras, shows who held it once: a holder whose own clock says that it is still valid writes it again with its number, and all others wait for the full duration, also after a release or a restart. Numbers of an era begin above those of all eras before it.

A first start still creates the lease at once.

--- a/packages/guavalane-core/src/guavalane_core/leases/holder.py
+++ b/packages/guavalane-core/src/guavalane_core/leases/holder.py
@@ -16,7 +16,12 @@
     ObjectConflictError,
     ObjectNotFoundError,
 )
-from guavalane_core.objects import ConditionalWriter, ObjectApi, StoredObject
+from guavalane_core.objects import (
+    ConditionalWriter,
+    ObjectApi,
+    StoredObject,
+    era_of,
+)
 from guavalane_core.tasks import cancel_tasks, start_supervised
 from guavalane_core.timers import Timers
 
@@ -32,6 +37,9 @@
 # seconds.
 CLOCK_JUMP_S = 2.0
 IDENTITY_BYTES = 6
+# Fencing numbers of one era of the object API. A new era begins with higher
+# ones than any that were given out before it, as the last may be forgotten.
+NUMBERS_PER_ERA = 1_000_000
 
 
 @attrs.frozen
@@ -45,6 +53,7 @@
       fencing_number: Counter that is incremented at each change of holder.
       duration_s: Time without renewal after which it expires, in seconds.
       released: Whether the holder released it.
+      era: Era of the object API in which it was written; 0 without one.
     """
 
     holder: str
@@ -53,11 +62,18 @@
     fencing_number: int
     duration_s: float
     released: bool = False
+    era: int = 0
 
     @classmethod
     def from_body(cls, body: dict[str, Any]) -> Lease:
-        """Parses a stored body."""
-        return cls(**{field.name: body[field.name] for field in _FIELDS})
+        """Parses a stored body; those of earlier builds have no era."""
+        return cls(
+            **{
+                field.name: body[field.name]
+                for field in _FIELDS
+                if field.name in body
+            }
+        )
 
 
 _FIELDS = attrs.fields(Lease)
@@ -71,6 +87,12 @@
     waits for the full duration on its own monotonic clock after it first read
     the stored version.
 
+    An object API that comes back from an older copy, in a new era, may have
+    forgotten the last acquisition, release or renewal. A lease written in an
+    earlier era, or none, therefore says nothing of who may hold it: a holder
+    whose lease is still valid writes it again, and all others wait for the full
+    duration.
+
     Args:
       api: Object API.
       timers: Timer service.
@@ -84,6 +106,8 @@
       restarts_take_over: Whether a later incarnation of the stored holder
           acquires the lease at once. Only safe if a node never runs two
           processes at the same time, so that the earlier one has ended.
+      is_first_start: Whether no process has run before, so that a lease that
+          does not exist was not forgotten.
     """
 
     def __init__(
@@ -96,6 +120,7 @@
         duration_s: float = DEFAULT_DURATION_S,
         takeover_delay_s: float = 0.0,
         restarts_take_over: bool = False,
+        is_first_start: bool = False,
     ) -> None:
         self._api = api
         self._writer = ConditionalWriter(api)
@@ -107,6 +132,7 @@
         self._duration_s = duration_s
         self._takeover_delay_s = takeover_delay_s
         self._restarts_take_over = restarts_take_over
+        self._is_first_start = is_first_start
         self._lock = asyncio.Lock()
         self._stored: StoredObject | None = None
         self._valid_until = 0.0
@@ -260,7 +286,7 @@
         offset = self._timers.wall() - self._timers.now()
         return abs(offset - self._clock_offset) > CLOCK_JUMP_S
 
-    def _body(self, fencing_number: int) -> dict[str, Any]:
+    def _body(self, fencing_number: int, era: int) -> dict[str, Any]:
         return attrs.asdict(
             Lease(
                 self._holder,
@@ -268,48 +294,74 @@
                 self._identity,
                 fencing_number,
                 self._duration_s,
+                era=era,
             )
         )
 
     async def _acquire(self) -> bool:
         sent_at, offset = self._read_clocks()
+        stored, lease, era = await self._read()
+        if lease is None:
+            may_be_forgotten = era > 0 and not self._is_first_start
+            wait_s = self._duration_s if may_be_forgotten else 0.0
+            is_available = self._has_waited(f"none in {era}", wait_s, sent_at)
+            number = 0
+        else:
+            if self._is_own(lease) and lease.era >= era:
+                # An earlier write took effect after its response had timed
+                # out.
+                return await self._write(
+                    stored, lease.fencing_number, era, sent_at, offset
+                )
+            is_available = self._is_available(stored, lease, era, sent_at)
+            number = lease.fencing_number
+        if not is_available:
+            return False
+        number = max(number, era * NUMBERS_PER_ERA) + 1
+        return await self._write(stored, number, era, sent_at, offset)
+
+    async def _read(self) -> tuple[StoredObject | None, Lease | None, int]:
+        """Returns the stored lease and the era of the object API."""
         try:
             stored = await self._api.get(KIND, self._name)
-        except ObjectNotFoundError:
-            return await self._write(None, 1, sent_at, offset)
+        except ObjectNotFoundError as error:
+            self._seen_holder = ""
+            return None, None, error.era
         lease = Lease.from_body(stored.body)
         self._seen_holder = "" if lease.released else lease.holder
-        if lease.identity == self._identity and not lease.released:
-            # An earlier write took effect after its response had timed out.
-            return await self._write(
-                stored, lease.fencing_number, sent_at, offset
-            )
-        if not self._is_available(stored, lease, sent_at):
-            return False
-        return await self._write(
-            stored, lease.fencing_number + 1, sent_at, offset
-        )
+        return stored, lease, era_of(stored.version)
+
+    def _is_own(self, lease: Lease) -> bool:
+        return lease.identity == self._identity and not lease.released
 
     def _is_available(
-        self, stored: StoredObject, lease: Lease, sent_at: float
+        self, stored: StoredObject, lease: Lease, era: int, sent_at: float
     ) -> bool:
-        is_earlier_incarnation = (
-            self._restarts_take_over
+        is_current = lease.era >= era
+        if (
+            is_current
+            and self._restarts_take_over
             and not lease.released
             and lease.holder == self._holder
             and lease.incarnation < self._incarnation
-        )
-        return is_earlier_incarnation or self._expired(stored, lease, sent_at)
-
-    def _expired(
-        self, stored: StoredObject, lease: Lease, sent_at: float
-    ) -> bool:
-        if lease.released:
+        ):
+            return True
+        if is_current and lease.released:
             wait_s = self._takeover_delay_s
         else:
             wait_s = max(lease.duration_s, self._duration_s)
-        if stored.version != self._seen_version and wait_s > 0:
-            self._seen_version = stored.version
+        return self._has_waited(stored.version, wait_s, sent_at)
+
+    def _has_waited(self, version: str, wait_s: float, sent_at: float) -> bool:
+        """Returns whether a version was seen for long enough.
+
+        Args:
+          version: Version of the stored lease.
+          wait_s: Time since this node first read it, in seconds.
+          sent_at: Time before the current read, on the monotonic clock.
+        """
+        if version != self._seen_version and wait_s > 0:
+            self._seen_version = version
             self._seen_at = self._timers.now()
             return False
         return wait_s == 0 or sent_at - self._seen_at >= wait_s
@@ -318,10 +370,20 @@
         self,
         stored: StoredObject | None,
         fencing_number: int,
+        era: int,
         sent_at: float,
         offset: float,
     ) -> bool:
-        body = self._body(fencing_number)
+        """Writes the lease as held by this process.
+
+        Args:
+          stored: Lease that is replaced; None if there is none.
+          fencing_number: Fencing number.
+          era: Era of the object API that the decision is based on.
+          sent_at: Start of the validity on the monotonic clock.
+          offset: Difference of the clocks at that time, in seconds.
+        """
+        body = self._body(fencing_number, era)
         try:
             if stored is None:
                 written = await self._writer.create(KIND, self._name, body)
@@ -329,36 +391,49 @@
                 written = await self._writer.update(stored, body)
         except (ObjectConflictError, ObjectNotFoundError):
             return False
+        if era_of(written.version) != era:
+            # What the decision is based on may be forgotten by now.
+            return False
         self._set_held(written, sent_at, offset)
         return self.check()
 
     async def _renew(self) -> bool:
         stored = self._stored
         sent_at, offset = self._read_clocks()
+        body = self._body(self.fencing_number, era_of(stored.version))
         try:
-            written = await self._writer.update(
-                stored, self._body(self.fencing_number)
-            )
+            written = await self._writer.update(stored, body)
         except (ObjectConflictError, ObjectNotFoundError):
-            return await self._recover_lost_renewal(sent_at, offset)
+            return await self._recover_renewal(sent_at, offset)
         self._set_held(written, sent_at, offset)
         return self.check()
 
-    async def _recover_lost_renewal(
-        self, sent_at: float, offset: float
-    ) -> bool:
-        # A renewal whose response was lost may have taken effect late. The
-        # stored lease is then still this one, with an unknown version.
-        held, self._stored = self._stored, None
-        stored = await self._api.get(KIND, self._name)
-        lease = Lease.from_body(stored.body)
-        self._seen_holder = "" if lease.released else lease.holder
-        if lease.identity != self._identity or lease.released:
-            log.warning("leases: {} was taken over", self._name)
+    async def _recover_renewal(self, sent_at: float, offset: float) -> bool:
+        """Renews a lease that is stored with another version, or not at all.
+
+        A renewal whose response was lost may have taken effect late. The stored
+        lease is then still this one, with an unknown version. Or the object
+        API has come back from an older copy; a lease that is valid is then
+        still that of this process, whatever is stored.
+        """
+        held = Lease.from_body(self._stored.body)
+        stored, lease, era = await self._read()
+        is_valid = self.check()
+        self._stored = None
+        is_forgotten = (0 if lease is None else lease.era) < era
+        if lease is None and not is_forgotten:
             return False
-        if lease.fencing_number != held.body["fencing_number"]:
+        if is_forgotten and not is_valid:
+            log.warning("leases: {} may have been taken over", self._name)
             return False
-        return await self._write(stored, lease.fencing_number, sent_at, offset)
+        if not is_forgotten and not (
+            self._is_own(lease) and lease.fencing_number == held.fencing_number
+        ):
+            log.warning("leases: {} was taken over", self._name)
+            return False
+        return await self._write(
+            stored, held.fencing_number, era, sent_at, offset
+        )
 
     def _read_clocks(self) -> tuple[float, float]:
         now = self._timers.now()
--- a/packages/guavalane-core/tests/test_leases.py
+++ b/packages/guavalane-core/tests/test_leases.py
@@ -6,6 +6,7 @@
 import contextlib
 
 import hypothesis
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -201,6 +202,64 @@
             self.highest, self.last_holder = number, holder
 
 
+class RestoredLeaseMachine(LeaseMachine):
+    """The same with an object API that comes back from older copies."""
+
+    def __init__(self):
+        super().__init__()
+        self.earlier = self.api.take_copy()
+        self.numbers = {}
+        # A store with eras tells one from its first response on.
+        self.api.restore(self.earlier)
+
+    @rule()
+    def take_copy(self):
+        self.earlier = self.api.take_copy()
+
+    @rule()
+    def restore(self):
+        self.api.restore(self.earlier)
+
+    @rule(index=st.integers(0, HOLDERS - 1))
+    def restart(self, index):
+        if self.tasks[index] is not None:
+            self.tasks[index].cancel()
+            self.settle()
+        self.incarnation += 1
+        self.holders[index] = LeaseHolder(
+            self.gate,
+            self.clocks[index],
+            "mover",
+            f"n{index}",
+            self.incarnation,
+            DURATION_S,
+            restarts_take_over=True,
+        )
+
+    incarnation = HOLDERS
+
+    @invariant()
+    def a_number_has_one_holder(self):
+        for index, holder in enumerate(self.holders):
+            if holder.check():
+                owner = (index, holder._incarnation)
+                number = holder.fencing_number
+                assert self.numbers.setdefault(number, owner) == owner
+
+
+RestoredLeaseMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=60,
+    deadline=None,
+    database=None,
+)
+
+
+class TestRestoredLeaseMachine(RestoredLeaseMachine.TestCase):
+    """Guards against two holders or a repeated number after a return."""
+
+
 LeaseMachine.TestCase.settings = hypothesis.settings(
     derandomize=True,
     max_examples=150,
@@ -340,6 +399,100 @@
         assert second.fencing_number == number + 1
 
 
+class TestReturnOfAnOlderStore:
+    """Guards against a lease whose last holder the store has forgotten."""
+
+    @pytest.fixture
+    def api(self):
+        """Object API with eras, in its first one."""
+        api = MemoryObjectApi()
+        api.restore(api.take_copy())
+        return api
+
+    def make(self, api, timers, name, incarnation=1, **changes):
+        """Returns a holder."""
+        values = {"is_first_start": True, "restarts_take_over": True}
+        return LeaseHolder(
+            api, timers, "l", name, incarnation, 6.0, **{**values, **changes}
+        )
+
+    @pytest.mark.parametrize("is_stored", [True, False])
+    async def test_a_valid_holder_keeps_lease_and_number(self, api, is_stored):
+        timers = ManualTimers()
+        first = self.make(api, timers, "a")
+        earlier = api.take_copy()
+        assert await first.acquire()
+        if is_stored:
+            earlier = api.take_copy()
+        number = first.fencing_number
+        api.restore(earlier)
+        other = self.make(api, timers, "b", is_first_start=False)
+        assert not await other.acquire()
+        timers.advance(3.0)
+        assert await first.renew()
+        assert first.fencing_number == number
+        timers.advance(3.1)
+        assert not await other.acquire()
+
+    @pytest.mark.parametrize("was_released", [True, False])
+    async def test_another_node_waits_and_gets_a_new_number(
+        self, api, was_released
+    ):
+        """Guards against a lease that was taken in the lost seconds."""
+        timers = ManualTimers()
+        first, second, third = (self.make(api, timers, n) for n in "abc")
+        assert await first.acquire()
+        if was_released:
+            await first.release()
+        earlier = api.take_copy()
+        await first.release()
+        assert await second.acquire()
+        number = second.fencing_number
+        api.restore(earlier)
+        assert not await third.acquire()
+        timers.advance(5.9)
+        assert not await third.acquire()
+        timers.advance(0.2)
+        assert await third.acquire()
+        assert third.fencing_number > number
+        assert not await second.renew()
+
+    async def test_a_restarted_holder_does_not_take_over_at_once(self, api):
+        timers = ManualTimers()
+        first, second = (self.make(api, timers, n) for n in "ab")
+        assert await first.acquire()
+        earlier = api.take_copy()
+        await first.release()
+        assert await second.acquire()
+        api.restore(earlier)
+        again = self.make(api, timers, "a", 2, is_first_start=False)
+        assert not await again.acquire()
+        assert second.check()
+
+    async def test_a_holder_whose_validity_ended_waits(self, api):
+        timers = ManualTimers()
+        first, second = (self.make(api, timers, n) for n in "ab")
+        assert await first.acquire()
+        earlier = api.take_copy()
+        assert not await second.acquire()
+        timers.advance(6.1)
+        assert await second.acquire()
+        api.restore(earlier)
+        assert not await first.renew()
+        assert not await first.acquire()
+        assert second.check()
+
+    async def test_a_lease_of_an_earlier_build_is_read(self, api):
+        timers = ManualTimers()
+        holder = self.make(api, timers, "a")
+        body = holder._body(7, 0)
+        del body["era"]
+        await api.create("leases", "l", {**body, "identity": "b-1"})
+        assert not await holder.acquire()
+        timers.advance(6.1)
+        assert await holder.acquire()
+
+
 class TestRestart:
     """Guards against leases without a holder after a restart."""
 
