Do not use endpoints that left before the store came back older

An endpoint whose entry was removed in the lost seconds is back in the store after a return, until it expires there. A node that had seen it leave sent requests to it again (DRAIN), and its address may belong to another service by then. An entry that was first written in the lost seconds was dropped at once, though its endpoint writes it again within about two seconds.

The first list of a new era does not bring back a process that this node has seen leave; its entry counts once it is written again, also over further lists. Missing entries get the grace period of an outage, however short the store was away. Before the change, test_an_entry_that_is_back_is_not_used and test_a_missing_entry_has_time_to_be_written_again failed.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/directory.py
@@ -33,7 +33,8 @@
         self._grace_end_s: dict[str, float] = {}
         self._restored_s = -REREGISTRATION_GRACE_S
         self._outage_start_s: float | None = None
-        self._removed: OrderedDict[str, None] = OrderedDict()
+        # Start times of the processes that were removed, by identifier.
+        self._removed: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -71,6 +72,21 @@
         if since_s is not None and now_s - since_s >= MIN_EXPIRY_OUTAGE_S:
             self._restored_s = now_s
 
+    def on_discovery_restored_from_copy(self, now_s: float) -> None:
+        """Records that the discovery service has come back from a copy.
+
+        Entries of later endpoints are missing until they are written again.
+        """
+        self._outage_start_s = None
+        self._restored_s = now_s
+
+    def was_removed(self, endpoint: Endpoint) -> bool:
+        """Returns whether this process of an endpoint was seen to leave."""
+        name = endpoint.endpoint_id
+        return (
+            name in self._removed and self._removed[name] == endpoint.started_ms
+        )
+
     def replace_all(self, endpoints: Iterable[Endpoint], now_s: float) -> None:
         """Replaces the directory with a complete list from discovery."""
         listed = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
@@ -151,6 +167,6 @@
         if endpoint is None:
             return
         del self._by_service[endpoint.service][endpoint_id]
-        self._removed[endpoint_id] = None
+        self._removed[endpoint_id] = endpoint.started_ms
         if len(self._removed) > MAX_REMEMBERED_REMOVALS:
             self._removed.popitem(last=False)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -153,12 +153,44 @@
         super().__init__(view, decode, log)
         self._on_new_version = on_new_version
         self._expiry: Subscription | None = None
+        self._is_restored = False
+        # Versions of the entries of endpoints that have left, by name.
+        self._outdated: dict[str, str] = {}
+
+    def on_restored(self) -> None:
+        """Starts the grace period for entries that are written again."""
+        self._is_restored = True
+        self._view.directory.on_discovery_restored_from_copy(self._now())
 
     def replace_all(self, objects: list[StoredObject]) -> None:
-        """Replaces all objects with a complete list."""
-        self._view.directory.replace_all(self._decode_all(objects), self._now())
+        """Replaces all objects with a complete list.
+
+        After a return of the object API from a copy, an endpoint that has left
+        is listed again. It is not used unless its entry is written again.
+        """
+        if self._is_restored:
+            self._is_restored = False
+            self._outdated = {
+                stored.name: stored.version
+                for stored in objects
+                if self._has_left(stored)
+            }
+        current = [
+            stored
+            for stored in objects
+            if self._outdated.get(stored.name) != stored.version
+        ]
+        self._view.directory.replace_all(self._decode_all(current), self._now())
         self._schedule_expiry()
 
+    def _has_left(self, stored: StoredObject) -> bool:
+        """Returns whether a listed endpoint was seen to leave."""
+        endpoint = self._decode_or_none(stored)
+        if endpoint is None or not self._view.directory.was_removed(endpoint):
+            return False
+        self._log_ignored(stored.name, "it has left before")
+        return True
+
     def merge(self, objects: list[StoredObject]) -> None:
         """Merges the list of a peer.
 
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -147,6 +147,52 @@
         assert harness.new_versions == 1
 
 
+class TestEndpointsAfterAReturn:
+    """Guards against requests to endpoints that left in the lost seconds."""
+
+    @pytest.fixture
+    def restored(self, harness):
+        """Sink that saw `e-1` leave, which is in the list after a return."""
+        harness.sink.apply(ObjectEvent(make_stored("e-1"), deleted=True))
+        harness.sink.on_restored()
+        harness.sink.replace_all([make_stored("e-1"), make_stored("e-2")])
+        return harness
+
+    def test_an_entry_that_is_back_is_not_used(self, restored):
+        assert not restored.is_used()
+        assert restored.is_used("e-2")
+        # The kind is listed again for another reason.
+        restored.sink.replace_all([make_stored("e-1"), make_stored("e-2")])
+        assert not restored.is_used()
+
+    def test_it_is_used_once_it_is_written_again(self, restored):
+        written = attrs.evolve(make_stored("e-1"), version="2")
+        restored.sink.apply(ObjectEvent(written))
+        assert restored.is_used()
+        restored.sink.replace_all([written, make_stored("e-2")])
+        assert restored.is_used()
+
+    def test_another_process_of_the_endpoint_is_used(self, harness):
+        harness.sink.apply(ObjectEvent(make_stored("e-1"), deleted=True))
+        harness.sink.on_restored()
+        harness.sink.replace_all([make_stored("e-1", started_ms=7)])
+        assert harness.is_used()
+
+    def test_a_draining_endpoint_stays_unused(self, harness):
+        draining = make_stored("e-1", leaving=True)
+        harness.sink.apply(ObjectEvent(draining))
+        harness.sink.on_restored()
+        harness.sink.replace_all([make_stored("e-1"), make_stored("e-2")])
+        assert not harness.is_used()
+
+    def test_a_missing_entry_has_time_to_be_written_again(self, harness):
+        harness.sink.on_restored()
+        harness.sink.replace_all([make_stored("e-2")])
+        assert harness.is_used()
+        harness.timers.advance(DRAIN_S - TRANSIT_S)
+        assert not harness.is_used()
+
+
 class TestConfigurationAfterAReturn:
     """Guards against a configuration in force that is lost or goes back."""
 
