Keep orders and phases of moves when the store comes back older

The status of a roll-out is lost with the seconds before a return: a move that was completed or rolled back was running again, a new trial began with its whole exposure, and the platform never heard of the end. A missing order withdrew its move, and the order of an older target replaced the latest one.

For 5 s after a return, in which operators write their orders again, a move keeps the phase that it has reached, a missing order does not withdraw it, and an order of another target counts only if it is written, not merely listed. A node tells the phase that it believes from the one that is stored, and the holder of the duties writes it again while it is lost.

A process that starts after the return knows no phase that was lost with it; the holder of the duties does, unless it is such a process.

--- a/packages/guavalane-core/src/guavalane_core/moves/table.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/table.py
@@ -41,12 +41,14 @@
     """A move and its evaluation on this node.
 
     Attributes:
-      move: Order and stored phase.
+      move: Order and its phase.
       seen_s: Monotonic time at which this node first saw the order, in
           seconds.
       trial: Comparison of the versions.
       budget: Requests of this node that the new version may receive.
       fault: Why the new version was rejected; empty if it was not.
+      stored_phase: Phase that was read last. It is an earlier one if the object
+          API has lost the phase.
     """
 
     move: VersionMove
@@ -54,6 +56,7 @@
     trial: VersionTrial
     budget: ExposureBudget
     fault: str = ""
+    stored_phase: MovePhase = MovePhase.ORDERED
 
     @property
     def unmet(self) -> str:
@@ -66,7 +69,17 @@
         return bool(self.fault) or self.move.phase is MovePhase.ROLLED_BACK
 
     def next_phase(self, now_s: float) -> MovePhase | None:
-        """Returns the next phase if a transition is due."""
+        """Returns the phase to be stored, if any.
+
+        That is the next one if a transition is due, or the present one if the
+        object API has lost it.
+        """
+        due = self._due_phase(now_s)
+        if due is None and self.stored_phase.rank < self.move.phase.rank:
+            return self.move.phase
+        return due
+
+    def _due_phase(self, now_s: float) -> MovePhase | None:
         phase = self.move.phase
         if phase is MovePhase.ORDERED:
             return MovePhase.RUNNING
@@ -129,13 +142,20 @@
         """
         tracked = self._moves.get(move.service)
         if tracked is None or tracked.move.target != move.target:
-            self._moves[move.service] = self._track(move, now_s)
+            tracked = self._moves[move.service] = self._track(move, now_s)
         elif may_be_old and move.phase.rank < tracked.move.phase.rank:
             return
         elif tracked.move.phase.has_ended and not move.phase.has_ended:
-            self._moves[move.service] = self._track(move, now_s)
+            tracked = self._moves[move.service] = self._track(move, now_s)
         else:
             tracked.move = move
+        tracked.stored_phase = move.phase
+
+    def on_phase_lost(self, service: str, stored_phase: MovePhase) -> None:
+        """Records that the object API has an earlier phase than before."""
+        tracked = self._moves.get(service)
+        if tracked is not None:
+            tracked.stored_phase = stored_phase
 
     def _track(self, move: VersionMove, now_s: float) -> TrackedMove:
         trial = VersionTrial(self._baselines.get(move.service))
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -25,6 +25,9 @@
 T = TypeVar("T")
 # Longest logged reason for ignoring an object, in characters.
 MAX_REASON_LENGTH = 500
+# Time after a return of the object API from a copy in which operators and nodes
+# write again what it has lost, in seconds.
+RESTORE_PERIOD_S = 5.0
 # Larger sizes of a VM are taken for unknown.
 MAX_SIZE = 1e9
 EndpointDecoder = Callable[[StoredObject], Endpoint]
@@ -344,40 +347,96 @@
 
 
 class MoveSink(_DecodingSink[VersionMove]):
-    """Keeps the moves of services to other versions current."""
+    """Keeps the moves of services to other versions current.
+
+    After a return of the object API from a copy, orders and phases may be
+    missing or older. For some time, a move that is not listed and a phase that
+    was reached are kept, and an order of another version that is only listed,
+    not written, is not taken for the latest one.
+
+    Args:
+      view: Shared state, which is updated.
+      decode: Function that decodes a stored order.
+      log: Decision log.
+    """
+
+    def __init__(
+        self, view: NodeView, decode: MoveDecoder, log: DecisionLog
+    ) -> None:
+        super().__init__(view, decode, log)
+        # Orders as read last, by service.
+        self._orders: dict[str, VersionMove] = {}
+        self._settling: Subscription | None = None
+
+    def on_restored(self) -> None:
+        """Starts the time in which orders are written again."""
+        if self._settling is not None:
+            self._settling.cancel()
+        self._settling = self._view.timers.call_later(
+            RESTORE_PERIOD_S, self._settle
+        )
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
-        listed = {stored.name for stored in objects}
-        for service in set(self._view.moves.moves) - listed:
-            self._view.moves.withdraw(service)
+        self._orders.clear()
         for stored in objects:
-            self._apply_object(stored)
+            self._read(stored)
+        if self._settling is None:
+            self._withdraw_missing()
+        for move in self._orders.values():
+            tracked = self._view.moves.moves.get(move.service)
+            if (
+                self._settling is None
+                or tracked is None
+                or tracked.move.target == move.target
+            ):
+                self._offer(move)
 
     def merge(self, objects: list[StoredObject]) -> None:
         """Merges the list of a peer; orders missing from it are kept."""
         for stored in objects:
-            self._apply_object(stored, may_be_old=True)
+            move = self._decode_or_none(stored)
+            if move is not None:
+                self._offer(move, may_be_old=True)
 
     def apply(self, event: ObjectEvent) -> None:
         """Applies one change."""
         if event.deleted:
+            self._orders.pop(event.object.name, None)
             self._view.moves.withdraw(event.object.name)
-        else:
-            self._apply_object(event.object)
-
-    def _log_ignored(self, name: str, reason: str) -> None:
-        self._log.event("move.ignored", name=name, reason=reason)
+            return
+        move = self._read(event.object)
+        if move is not None:
+            self._offer(move)
 
-    def _apply_object(
-        self, stored: StoredObject, *, may_be_old: bool = False
-    ) -> None:
+    def _read(self, stored: StoredObject) -> VersionMove | None:
         move = self._decode_or_none(stored)
-        if move is None:
-            return
+        if move is not None:
+            self._orders[move.service] = move
+        return move
+
+    def _withdraw_missing(self) -> None:
+        for service in set(self._view.moves.moves) - set(self._orders):
+            self._view.moves.withdraw(service)
+
+    def _settle(self) -> None:
+        """Takes the orders that are stored for the latest ones."""
+        self._settling = None
+        self._withdraw_missing()
+        for move in self._orders.values():
+            tracked = self._view.moves.moves.get(move.service)
+            if tracked is None or tracked.move.target != move.target:
+                self._offer(move)
+
+    def _offer(self, move: VersionMove, *, may_be_old: bool = False) -> None:
+        may_be_lost = self._settling is not None and not may_be_old
         self._view.moves.offer(
-            move, self._view.timers.now(), may_be_old=may_be_old
+            move,
+            self._view.timers.now(),
+            may_be_old=may_be_old or may_be_lost,
         )
+        if may_be_lost:
+            self._view.moves.on_phase_lost(move.service, move.phase)
         self._log.event(
             "move.offered",
             service=move.service,
@@ -385,6 +444,9 @@
             phase=move.phase.value,
         )
 
+    def _log_ignored(self, name: str, reason: str) -> None:
+        self._log.event("move.ignored", name=name, reason=reason)
+
 
 def _size_of(value: Any) -> float:
     """Returns a size that a node tells of its VM; 0 if it is not valid."""
