Keep nodes in the list for a while after the store came back older

Nodes that had registered in the lost seconds were missing from the list after a return. The others divided retries, allotments and connections by the nodes that were left, until all had registered again: each took more than its share (BUDGET, QUOTA).

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -286,6 +286,10 @@
 class PeerSink(KindSink):
     """Keeps the addresses of the other nodes current.
 
+    After a return of the object API from a copy, nodes that had registered
+    since are missing until they register again. They keep their share of the
+    limits that nodes divide.
+
     Args:
       view: Shared state, which is updated.
       on_unlisted: Called when this node is missing from the list.
@@ -301,11 +305,21 @@
         self._view = view
         self._on_unlisted = on_unlisted
         self._log = log
+        self._listed: set[str] = set()
+        self._settling: Subscription | None = None
+
+    def on_restored(self) -> None:
+        """Starts the time in which nodes register again."""
+        if self._settling is not None:
+            self._settling.cancel()
+        self._settling = self._view.timers.call_later(
+            RESTORE_PERIOD_S, self._settle
+        )
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
         self._replace(objects)
-        if all(s.name != self._view.settings.name for s in objects):
+        if self._view.settings.name not in self._listed:
             self._on_unlisted()
 
     def merge(self, objects: list[StoredObject]) -> None:
@@ -314,21 +328,37 @@
 
     def apply(self, event: ObjectEvent) -> None:
         """Applies one change."""
-        if event.deleted and event.object.name == self._view.settings.name:
+        name = event.object.name
+        if not event.deleted:
+            self._listed.add(name)
+            self._put(event.object)
+            return
+        self._listed.discard(name)
+        if name == self._view.settings.name:
             self._on_unlisted()
-        elif event.deleted:
-            self._view.peers.pop(event.object.name, None)
-            self._view.relay_candidates.pop(event.object.name, None)
         else:
-            self._put(event.object)
+            self._drop(name)
 
     def _replace(self, objects: list[StoredObject]) -> None:
-        self._view.peers.clear()
-        self._view.relay_candidates.clear()
+        self._listed = {stored.name for stored in objects}
+        if self._settling is None:
+            self._drop_missing()
         for stored in objects:
             self._put(stored)
         self._view.on_peers_listed()
 
+    def _settle(self) -> None:
+        self._settling = None
+        self._drop_missing()
+
+    def _drop_missing(self) -> None:
+        for name in set(self._view.peers) - self._listed:
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._view.peers.pop(name, None)
+        self._view.relay_candidates.pop(name, None)
+
     def _put(self, stored: StoredObject) -> None:
         if stored.name == self._view.settings.name:
             return
@@ -336,6 +366,7 @@
         try:
             self._view.peers[stored.name] = str(Address.parse(str(address)))
         except ValueError as error:
+            self._drop(stored.name)
             self._log.event("peer.ignored", peer=stored.name, reason=str(error))
             return
         self._view.relay_candidates[stored.name] = RelayCandidate(
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -11,7 +11,12 @@
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.sinks import ConfigurationSink, EndpointSink
+from guavalane_entry.gateway.sinks import (
+    RESTORE_PERIOD_S,
+    ConfigurationSink,
+    EndpointSink,
+    PeerSink,
+)
 from guavalane_entry.gateway.view import NodeView
 from guavalane_standins.forwarding_samples import (
     make_configuration,
@@ -193,6 +198,41 @@
         assert not harness.is_used()
 
 
+class TestNodesAfterAReturn:
+    """Guards against nodes that take the shares of others for their own."""
+
+    @pytest.fixture
+    def node(self):
+        """Sink of node `n1`, which has listed four nodes."""
+        timers = ManualTimers()
+        view = NodeView(make_settings("n1"), timers, random.Random(1))
+        self.renewals = 0
+        sink = PeerSink(view, self._renew, DecisionLog("n1", timers.wall))
+        sink.view, sink.timers = view, timers
+        sink.replace_all([self._store(f"n{n}") for n in range(1, 5)])
+        return sink
+
+    def _renew(self):
+        self.renewals += 1
+
+    def _store(self, name):
+        body = {"address": f"127.0.0.{name[1:]}:7600"}
+        return StoredObject("nodes", name, "1", body)
+
+    def test_a_missing_node_has_time_to_register_again(self, node):
+        node.on_restored()
+        node.replace_all([self._store("n2")])
+        assert node.view.node_count == 4
+        assert self.renewals == 1
+        node.apply(ObjectEvent(self._store("n3")))
+        node.timers.advance(RESTORE_PERIOD_S)
+        assert sorted(node.view.peers) == ["n2", "n3"]
+
+    def test_a_missing_node_is_dropped_without_a_return(self, node):
+        node.replace_all([self._store("n1"), self._store("n2")])
+        assert sorted(node.view.peers) == ["n2"]
+
+
 class TestConfigurationAfterAReturn:
     """Guards against a configuration in force that is lost or goes back."""
 
