Keep quarantines that a store has lost when it came back older

A quarantine that was decided in the lost seconds is missing from the list after a return. Each node took it for deleted and released the prompt part, which then crashed endpoints until the evidence sufficed again.

The first list of a new era deletes no quarantine: those that it lacks stay in force and are stored again by the first node to do so. test_a_lost_quarantine_stays_and_is_stored_again; before, all nodes released it. A quarantine that ended in the lost seconds is not adopted again by a node that knows its end.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
@@ -74,7 +74,9 @@
         self._log = log
         self._send = send
         self._store = QuarantineStore(api, timers, log)
-        self._sink = QuarantineSink(self._adopt, self._release_deleted, log)
+        self._sink = QuarantineSink(
+            self._adopt, self._release_deleted, self._save_later, log
+        )
         self._repetitions_left = 0
         self._report_timer = ReportTimer(view, timers, self._send_report)
         self._next_evaluation: Subscription | None = None
@@ -211,8 +213,10 @@
 
     def _evaluate_reports(self) -> None:
         self._next_evaluation = None
-        delay_s = self._view.rng.uniform(MIN_SAVE_DELAY_S, MAX_SAVE_DELAY_S)
-        self._evaluate(delay_s)
+        self._evaluate(self._draw_save_delay_s())
+
+    def _draw_save_delay_s(self) -> float:
+        return self._view.rng.uniform(MIN_SAVE_DELAY_S, MAX_SAVE_DELAY_S)
 
     def _evaluate(self, save_delay_s: float) -> None:
         added = self._table.update(self._timers.now(), self._now_ms())
@@ -225,9 +229,7 @@
                 source="evidence",
                 since_ms=quarantine.since_ms,
             )
-            self._store.save(
-                quarantine, save_delay_s, lambda part=part: self._unsaved(part)
-            )
+            self._save(part, save_delay_s)
         if added:
             self._release_superseded()
             self._repetitions_left = REPETITIONS
@@ -243,6 +245,18 @@
                 lambda part=part: self._sink.is_stored(part),
             )
 
+    def _save(self, part: str, delay_s: float) -> None:
+        self._store.save(
+            self._table.quarantines[part],
+            delay_s,
+            lambda: self._unsaved(part),
+        )
+
+    def _save_later(self, part: str) -> None:
+        """Stores a quarantine again, unless another node is faster."""
+        if part in self._table.quarantines:
+            self._save(part, self._draw_save_delay_s())
+
     def _unsaved(self, part: str) -> bool:
         is_known = part in self._table.quarantines
         return is_known and not self._sink.is_stored(part)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_store.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_store.py
@@ -172,9 +172,13 @@
 class QuarantineSink(KindSink):
     """Applies stored quarantines.
 
+    Those that are missing when the object API has come back from a copy were
+    lost, not deleted.
+
     Args:
       adopt: Called with each stored quarantine.
       release: Called with the part of each quarantine that was deleted.
+      restore: Called with the part of each quarantine that was lost.
       log: Decision log.
     """
 
@@ -182,12 +186,19 @@
         self,
         adopt: Callable[[Quarantine], None],
         release: Callable[[str], None],
+        restore: Callable[[str], None],
         log: DecisionLog,
     ) -> None:
         self._adopt = adopt
         self._release = release
+        self._restore = restore
         self._log = log
         self._parts: dict[str, str] = {}
+        self._is_restored = False
+
+    def on_restored(self) -> None:
+        """Takes quarantines that the next list lacks for lost."""
+        self._is_restored = True
 
     def is_stored(self, part_id: str) -> bool:
         """Returns whether the quarantine of a part is known to be stored."""
@@ -196,8 +207,10 @@
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
         listed = {stored.name for stored in objects}
+        on_missing = self._restore if self._is_restored else self._release
+        self._is_restored = False
         for name in set(self._parts) - listed:
-            self._release(self._parts.pop(name))
+            on_missing(self._parts.pop(name))
         self.merge(objects)
 
     def merge(self, objects: list[StoredObject]) -> None:
--- a/packages/guavalane-entry/tests/gateway/test_quarantine.py
+++ b/packages/guavalane-entry/tests/gateway/test_quarantine.py
@@ -137,6 +137,37 @@
         return [at_s for at_s in forwarded_s if at_s > third_s + CONTACT_S]
 
 
+class TestReturnOfAnOlderStore:
+    """Guards against a quarantine that ends because the store has lost it."""
+
+    async def test_a_lost_quarantine_stays_and_is_stored_again(self):
+        fleet = Fleet(3)
+        earlier = fleet.api.take_copy()
+        for _ in range(FREE_CRASHES):
+            fleet.crash("n0", CRASHING)
+            await fleet.timers.run_for(1.0)
+        await fleet.follow_store()
+        fleet.api.restore(earlier)
+        for node in fleet.nodes.values():
+            node.sink.on_restored()
+        await fleet.follow_store()
+        for node in fleet.nodes.values():
+            assert node.view.quarantines.find(CRASHING) is not None
+        await fleet.timers.run_for(2.0)
+        objects, _ = await fleet.api.list(QUARANTINE_KIND)
+        assert len(objects) == 1
+
+    async def test_a_deleted_quarantine_ends_without_a_return(self):
+        fleet = Fleet(3)
+        for _ in range(FREE_CRASHES):
+            fleet.crash("n0", CRASHING)
+            await fleet.timers.run_for(1.0)
+        await fleet.follow_store()
+        for node in fleet.nodes.values():
+            node.sink.replace_all([])
+            assert node.view.quarantines.find(CRASHING) is None
+
+
 class TestFleet:
     """Guards against crashing requests that reach endpoints on every node."""
 
