Renew the lease on duties as soon as the store is back from a copy

A store that was away for 2 s came back 0.3 s before the validity of the lease ended; the next periodic renewal came after it.

The first response of a new era now makes the holder renew at once. test_a_valid_lease_is_written_again_at_once failed before.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
@@ -9,7 +9,11 @@
 import attrs
 from loguru import logger as log
 
-from guavalane_core.exceptions import GuavalaneError, LeaseLostError
+from guavalane_core.exceptions import (
+    GuavalaneError,
+    LeaseLostError,
+    ObjectApiError,
+)
 from guavalane_core.forwarding import MovePhase, VersionMove
 from guavalane_core.leases import LeaseHolder
 from guavalane_core.objects import StatusApi, StoredObject
@@ -118,6 +122,7 @@
         self._duties: dict[str, Duty] = {}
         self._last_claimed_s = timers.now()
         self._task: asyncio.Task | None = None
+        self._renewal: asyncio.Task | None = None
 
     @property
     def lease(self) -> LeaseHolder:
@@ -128,10 +133,13 @@
         """Starts competing for the lease."""
         self._lease.start(self._on_change, self._is_candidate)
         self._task = start_supervised("duties", self._run)
+        self._renewal = start_supervised(
+            "renewal in a new era", self._renew_in_new_eras
+        )
 
     async def stop(self) -> None:
         """Stops the duties and releases the lease."""
-        await cancel_tasks(self._task)
+        await cancel_tasks(self._task, self._renewal)
         await self._lease.stop()
 
     def current_fencing_number(self) -> int:
@@ -165,6 +173,20 @@
             return True
         return now_s - self._last_claimed_s > UNCLAIMED_TIMEOUT_S
 
+    async def _renew_in_new_eras(self) -> None:
+        """Renews the lease at once when the object API is back from a copy.
+
+        The lease may be lost there, and the next periodic renewal may be later
+        than the end of its validity.
+        """
+        store_era = self._context.view.store_era
+        while True:
+            await store_era.wait_above(store_era.era)
+            try:
+                await self._lease.renew()
+            except ObjectApiError as error:
+                log.debug("duties: the lease is not renewed yet: {}", error)
+
     async def _run(self) -> None:
         while True:
             await self._timers.sleep(STEP_PERIOD_S)
