Play a store that comes back older in the soak

store_restored takes a copy, is away for 0.2 to 2.5 s, and comes back from it; what operators and endpoints wrote since is written again within 1 s, and entries of endpoints that have left expire after 3 s.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -9,6 +9,15 @@
 # Seeds and the duration of the phase in which faults start, in seconds. Seeds
 # that have failed stay here, with a line on the cause.
 SEEDS = ((1, 10.0), (2, 10.0))
+# Faults beside returns of the store from an older copy.
+RETURN_FAULTS = (
+    "store_restored",
+    "configuration_changes",
+    "endpoint_leaves",
+    "node_killed",
+    "node_paused",
+)
+RETURN_SEEDS = ((2, 10.0), (3, 10.0))
 
 
 class TestSoak:
@@ -17,6 +26,17 @@
     @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
     async def test_invariants_hold(self, seed, seconds, tmp_path):
         result = await run_seed(seed, seconds)
+        self._check(result, tmp_path)
+
+    @pytest.mark.parametrize(("seed", "seconds"), RETURN_SEEDS)
+    async def test_invariants_hold_when_the_store_comes_back_older(
+        self, seed, seconds, tmp_path
+    ):
+        result = await run_seed(seed, seconds, RETURN_FAULTS)
+        self._check(result, tmp_path)
+        assert result.faults["store_restored"] > 0
+
+    def _check(self, result, tmp_path):
         for name, text in result.logs.items():
             (tmp_path / f"{name}.log").write_text(text)
         seen = f"calls {result.calls}, faults {result.faults}, see {tmp_path}"
