Play returns of the store in a fleet with relays

The seeded soak with three nodes held on the code before the change as well: without relays, each watch lists again after the calls that fail while the store is away.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -4,12 +4,13 @@
 
 import pytest
 
+from guavalane_core.objects.relays import MIN_FLEET_SIZE
 from soak.run import run_seed
 
 # Seeds and the duration of the phase in which faults start, in seconds. Seeds
 # that have failed stay here, with a line on the cause.
 SEEDS = ((1, 10.0), (2, 10.0))
-# Faults beside returns of the store from an older copy.
+# Faults beside returns of the store from an older copy, in a fleet with relays.
 RETURN_FAULTS = (
     "store_restored",
     "configuration_changes",
@@ -17,7 +18,7 @@
     "node_killed",
     "node_paused",
 )
-RETURN_SEEDS = ((2, 10.0), (3, 10.0))
+RETURN_SEEDS = ((5, 10.0), (7, 10.0))
 
 
 class TestSoak:
@@ -32,7 +33,7 @@
     async def test_invariants_hold_when_the_store_comes_back_older(
         self, seed, seconds, tmp_path
     ):
-        result = await run_seed(seed, seconds, RETURN_FAULTS)
+        result = await run_seed(seed, seconds, RETURN_FAULTS, MIN_FLEET_SIZE)
         self._check(result, tmp_path)
         assert result.faults["store_restored"] > 0
 
