--- a/packages/guavalane-entry/tests/gateway/test_decision_log.py
+++ b/packages/guavalane-entry/tests/gateway/test_decision_log.py
@@ -7,11 +7,8 @@
 import os
 import time
 
-from guavalane_entry.gateway.decision_log import (
-    MAX_QUEUED_LINES,
-    RESERVED_LINES,
-    DecisionLog,
-)
+from guavalane_entry.gateway.decision_log import RESERVED_LINES, DecisionLog
+from guavalane_entry.line_writer import MAX_QUEUED_LINES
 
 
 class TestDecisionLog:
