Start the allotments of restarted processes empty, not full

A new process began with the whole burst of each allotment and half of the operators' slack.

A process that starts when others have run before begins with an empty bucket, which fills from its start on, until an older process tells it the level. A first start keeps the whole burst.

With full buckets, test_restarts_of_all_nodes_at_once_keep_the_ allotment exceeds the bound. The tests of reports set up nodes that start for the first time, as their levels expect.

--- a/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/allotment.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from guavalane_core.allotments.contention import Contention
 
 
@@ -18,13 +20,24 @@
       rate_per_s: Units added per second.
       burst: Capacity of the bucket in units.
       now_s: Monotonic time in seconds.
+      empty_s: Monotonic time at which the bucket may have been empty, in
+          seconds. Earlier processes may have drawn all of it just before they
+          ended.
     """
 
-    def __init__(self, rate_per_s: float, burst: float, now_s: float) -> None:
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        now_s: float,
+        empty_s: float = -math.inf,
+    ) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._total_level = burst
-        self._own_level = burst
+        inflow = rate_per_s * max(0.0, now_s - empty_s)
+        self._total_level = self._own_level = min(burst, inflow)
+        # Whether the draws of earlier processes are known.
+        self._is_known = self._total_level >= burst
         self._refilled_s = now_s
         self._share = 1.0
         self._contention = Contention()
@@ -107,9 +120,17 @@
         inflow_per_s = self._rate_per_s * self._share
         return missing / inflow_per_s if inflow_per_s > 0 else float("inf")
 
-    def cap_level(self, level: float, now_s: float) -> None:
-        """Lowers the level to the one that another node reports, if lower."""
+    def adopt_level(self, level: float, now_s: float) -> None:
+        """Applies the level that a process reports which started earlier.
+
+        The first one replaces the lowest possible level; of further ones, the
+        lowest counts.
+        """
         self._refill(now_s)
+        if not self._is_known:
+            self._is_known = True
+            gained = max(0.0, min(level, self._burst) - self._total_level)
+            self._add(gained)
         self._total_level = min(self._total_level, level)
         self._own_level = min(self._own_level, level)
 
--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping, Sequence
 
 from guavalane_core.allotments.allotment import SharedAllotment
@@ -28,12 +29,18 @@
     Args:
       tolerance_ratio: Additional fraction of each rate that is admitted.
       tolerance_burst: Additional units of each burst that are admitted.
+      started_s: Monotonic time of the start of the process, in seconds; minus
+          infinity if no process has run before.
     """
 
     def __init__(
-        self, tolerance_ratio: float = 0.0, tolerance_burst: float = 0.0
+        self,
+        tolerance_ratio: float = 0.0,
+        tolerance_burst: float = 0.0,
+        started_s: float = -math.inf,
     ) -> None:
         self.set_tolerance(tolerance_ratio, tolerance_burst)
+        self._started_s = started_s
         self._allotments: dict[str, SharedAllotment] = {}
         self._drawn: dict[str, int] = {}
         self._configured = False
@@ -56,6 +63,8 @@
         self, organisations: Sequence[Organisation], now_s: float
     ) -> None:
         """Applies the limits of a configuration."""
+        # An organisation of a later configuration has not drawn anything yet.
+        empty_s = -math.inf if self._configured else self._started_s
         self._configured = True
         limited = {o.name: o for o in organisations if o.rate_per_s > 0}
         for name in list(self._allotments):
@@ -69,7 +78,9 @@
             if name in self._allotments:
                 self._allotments[name].set_limits(*limits, now_s)
             else:
-                self._allotments[name] = SharedAllotment(*limits, now_s)
+                self._allotments[name] = SharedAllotment(
+                    *limits, now_s, empty_s
+                )
 
     def set_share(self, share: float, now_s: float) -> None:
         """Sets the share of each allotment that this node can rely on."""
@@ -144,7 +155,7 @@
         for name, level in levels.items():
             allotment = self._allotments.get(name)
             if allotment is not None:
-                allotment.cap_level(level, now_s)
+                allotment.adopt_level(level, now_s)
         self._reported[node] = (incarnation, dict(totals))
 
     def report(
--- a/packages/guavalane-core/tests/test_allotments.py
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -15,6 +16,8 @@
 BURST = 36_000.0
 NODES = 7
 REPORT_S = 0.25
+# Time from the start of a process until it knows the limits, in seconds.
+STARTING_S = 0.3
 WINDOW_S = 8.0
 
 
@@ -195,7 +198,9 @@
             now_s = step * 0.01
             if step >= 1000 and step % 300 == 0:
                 restarted = step // 300 % NODES
-                ledgers[restarted] = AllotmentLedger(0.05, 70_000)
+                ledgers[restarted] = AllotmentLedger(
+                    0.05, 70_000, now_s - STARTING_S
+                )
                 ledgers[restarted].set_organisations([organisation], now_s)
                 started[restarted] = step
             if rng.random() < requests_per_step:
@@ -222,6 +227,55 @@
                         ledger.report(f"n{j}", started[j], drawn, now_s)
         return len(admitted) / asked, admitted
 
+    @pytest.mark.parametrize("period_s", [2.5, 1.0])
+    def test_restarts_of_all_nodes_at_once_keep_the_allotment(self, period_s):
+        """Guards against a bucket that is full again after each restart."""
+        rng = random.Random(7)
+        organisation = self.organisation()
+        requests_per_step = 8 * RATE * 0.01 / 4833
+        admitted = []
+        for step in range(2000):
+            now_s = step * 0.01
+            if step % int(period_s / 0.01) == 0:
+                empty_s = now_s if step else -math.inf
+                ledgers = [
+                    AllotmentLedger(0.05, 70_000, empty_s) for _ in range(NODES)
+                ]
+                for ledger in ledgers:
+                    ledger.set_organisations([organisation], now_s)
+            if rng.random() < requests_per_step:
+                units = rng.choice([500, 2000, 12_000])
+                if rng.choice(ledgers).try_draw("org", units, now_s) == 0:
+                    admitted.append((now_s, units))
+            if step % int(REPORT_S / 0.01) == 0:
+                drawn = [dict(ledger.drawn) for ledger in ledgers]
+                for i, ledger in enumerate(ledgers):
+                    for j in range(NODES):
+                        if i != j:
+                            ledger.report(f"n{j}", step, drawn[j], now_s)
+        bound = 1.1 * (RATE * WINDOW_S + BURST) + 140_000
+        for start_s in range(0, 12):
+            end_s = start_s + WINDOW_S
+            units = sum(u for t, u in admitted if start_s <= t < end_s)
+            assert units <= bound, (start_s, units / bound)
+
+    def test_a_restarted_node_takes_the_level_of_an_older_one(self):
+        """Guards against a full bucket of which the node admits nothing."""
+        ledger = AllotmentLedger(started_s=10.0)
+        ledger.set_organisations([self.organisation()], 10.0)
+        assert ledger.try_draw("org", BURST / 2, 10.0) > 0
+        ledger.set_baseline("n1", 1, {"org": 5}, {"org": BURST}, 10.0)
+        assert ledger.try_draw("org", BURST / 2, 10.0) == 0
+        # A lower level that another process reports counts as before.
+        ledger.set_baseline("n2", 1, {"org": 5}, {"org": 0}, 10.0)
+        assert ledger.try_draw("org", BURST / 4, 10.0) > 0
+
+    def test_a_new_organisation_has_its_whole_burst(self):
+        ledger = AllotmentLedger(started_s=10.0)
+        ledger.set_organisations([], 10.0)
+        ledger.set_organisations([self.organisation()], 10.0)
+        assert ledger.try_draw("org", BURST, 10.0) == 0
+
     def test_restarted_node_refuses_nothing_below_the_limit(self):
         """Guards against deducting draws from before the restart again."""
         share, _ = self.simulate_restarts(load=0.55)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -65,11 +65,11 @@
         self._work = WorkTable()
         self._prefixes = PrefixDirectory()
         self._ejector = OutlierEjector()
-        self._allotments = AllotmentLedger()
+        self._started_s = timers.now() if started_s is None else started_s
+        self._allotments = AllotmentLedger(started_s=self._started_s)
         self._apply_tolerance()
         self._clock = MedianClock(timers)
         self._usage = UsageCounts(settings.usage_window_s)
-        self._started_s = timers.now() if started_s is None else started_s
         self._peers: dict[str, str] = {}
         self._peers_listed = False
         self._relay_candidates: dict[str, RelayCandidate] = {}
--- a/packages/guavalane-entry/tests/gateway/test_allotment_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_allotment_reports.py
@@ -35,7 +35,8 @@
 
 def make_node(timers, name, incarnation=1, nodes=LARGE_FLEET):
     """Returns the view and the peer reports of a node in a large fleet."""
-    view = NodeView(make_settings(name), timers, random.Random(1))
+    # All nodes start for the first time.
+    view = NodeView(make_settings(name), timers, random.Random(1), -math.inf)
     view.update_configuration(
         make_configuration(make_route(), organisations=ORGANISATIONS)
     )
@@ -199,7 +200,9 @@
         names = [f"n{number}" for number in range(LARGE_FLEET)]
         views, receivers = {}, {}
         for number, name in enumerate(names):
-            view = NodeView(make_settings(name), timers, random.Random(number))
+            view = NodeView(
+                make_settings(name), timers, random.Random(number), -math.inf
+            )
             # Half of the tolerance of the operators is used deliberately.
             view.allotments.set_tolerance(0.05, 70_000)
             view.update_configuration(
--- a/packages/guavalane-entry/tests/gateway/test_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -33,7 +34,8 @@
 
 def make_node(timers, name, incarnation=1, duties=0):
     """Returns the view and the peer reports of a node."""
-    view = NodeView(make_settings(name), timers, random.Random(1))
+    # All nodes start for the first time.
+    view = NodeView(make_settings(name), timers, random.Random(1), -math.inf)
     organisation = Organisation(
         "org", frozenset({"k"}), rate_per_s=10.0, burst=100.0
     )
