--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from aiohttp import web
@@ -18,6 +19,7 @@
 from guavalane_platform.objects import MAX_IDLE_S, StoreObjectApi
 from guavalane_platform_standins.store import StoreServer
 from guavalane_standins.processes import free_port
+from guavalane_standins.scripted_endpoint import ScriptedEndpoint
 
 
 @pytest.fixture
@@ -133,3 +135,61 @@
         server.put("things", "b", {"n": 1})
         objects, _ = await client.list("things")
         assert [stored.body for stored in objects] == [{}, {"n": 1}]
+
+
+class TestLateCopies:
+    """Guards against a late copy of a response taken for another one."""
+
+    @pytest.fixture
+    async def calls(self):
+        """Yields a client of a store that repeats its responses, and calls.
+
+        The response to a call is sent again, before that to the next call on
+        its connection.
+        """
+        before = {}
+
+        async def repeat(exchange):
+            connection = exchange.request.connection
+            if connection in before:
+                await exchange.answer(200, {}, before[connection])
+            method, target, _ = exchange.request.line.split()
+            name = target.partition("?")[0].rpartition("/")[2]
+            if method == "POST":
+                name = json.loads(exchange.request.body)["Metadata"]["Name"]
+            stored = {"Metadata": {"Name": name, "Revision": 5}, "Spec": {}}
+            body = stored
+            if name == "things":
+                body = {"Items": [stored], "CurrentRev": 5}
+            if "Watch" in target:
+                body = {"events": [], "CurrentRev": 6}
+            before[connection] = json.dumps(body).encode()
+            # The copy has been read by then, and nothing else has arrived.
+            await asyncio.sleep(0.05)
+            await exchange.answer(200, {}, before[connection])
+
+        endpoint = ScriptedEndpoint(repeat)
+        await endpoint.start()
+        client = StoreObjectApi(endpoint.address)
+        yield client
+        await client.close()
+        await endpoint.stop()
+
+    async def test_another_object_is_not_returned(self, calls):
+        assert (await calls.get("things", "a")).name == "a"
+        with pytest.raises(ObjectApiUnavailableError):
+            await calls.get("things", "b")
+
+    async def test_a_write_is_not_taken_for_done(self, calls):
+        await calls.get("things", "a")
+        with pytest.raises(WriteOutcomeUnknownError):
+            await calls.create("things", "b", {})
+
+    async def test_a_list_is_not_taken_for_changes(self, calls):
+        _, version = await calls.list("things")
+        with pytest.raises(ObjectApiUnavailableError):
+            await calls.poll("things", version, 0.1)
+
+    async def test_a_kind_is_not_taken_for_another_one(self, calls):
+        await calls.list("things")
+        assert (await calls.get("others", "a")).name == "a"
