--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -12,6 +12,7 @@
 import time
 
 import aiohttp
+import pytest
 
 from guavalane_platform_standins.deployment import (
     ROOT,
@@ -73,6 +74,24 @@
     return result
 
 
+class TestDeployment:
+    """Guards against processes that go on after a start that failed."""
+
+    async def test_a_start_that_fails_ends_its_processes(self, monkeypatch):
+        deployment = Deployment(2)
+
+        async def fail(node, ready=True):
+            raise TimeoutError(node.name)
+
+        monkeypatch.setattr(deployment, "wait_ready", fail)
+        with pytest.raises(TimeoutError):
+            async with deployment:
+                pass
+        assert len(deployment.nodes) == 2
+        for node in deployment.nodes:
+            assert node.process.poll() is not None
+
+
 class TestServing:
     """Guards against wrong responses for any delivery kind."""
 
