Share the period after a return, and keep moves whose order is invalid

Read as a newcomer would: two sinks timed the same period by themselves; it is a class of its own now. An order that is listed but not valid withdrew its move, as if it were missing (test_an_order_that_becomes_invalid_withdraws_nothing). A node that had read a peer's copy of a new era did not take its own next list for the first one of that era, so that lost quarantines and nodes were dropped (test_a_copy_of_the_new_era_does_not_hide_the_return).

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -201,7 +201,7 @@
         self._handled = False
         # Whether the header of a request was read whose handler has not
         # started.
-        self._has_waiting = False
+        self._has_queued_request = False
         self._reply: ConnectionReply | None = None
 
     @property
@@ -221,8 +221,8 @@
         self._unanswered.add(self)
         super().data_received(data)
         if self._messages:
-            self._has_waiting = True
-        if self._handled or self._has_waiting:
+            self._has_queued_request = True
+        if self._handled or self._has_queued_request:
             # A pause before its handler starts must not count as header time:
             # the handler runs even if the connection was closed with 408.
             self._header_since_s = None
@@ -239,7 +239,7 @@
         """Records that the handler of a request has started."""
         self._unanswered.add(self)
         self._handled = True
-        self._has_waiting = bool(self._messages)
+        self._has_queued_request = bool(self._messages)
         self._reply = reply
         self._header_since_s = None
 
@@ -252,7 +252,7 @@
         """Records that a request was answered."""
         self._handled = False
         self._reply = None
-        if not self._has_waiting or self.transport is None:
+        if not self._has_queued_request or self.transport is None:
             self._unanswered.discard(self)
 
     def time_out_header(self) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -17,6 +17,7 @@
 from guavalane_core.objects.relays import RelayCandidate
 from guavalane_core.timers import Subscription
 from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.restore_period import RestorePeriod
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindSink
@@ -25,9 +26,6 @@
 T = TypeVar("T")
 # Longest logged reason for ignoring an object, in characters.
 MAX_REASON_LENGTH = 500
-# Time after a return of the object API from a copy in which operators and nodes
-# write again what it has lost, in seconds.
-RESTORE_PERIOD_S = 5.0
 # Larger sizes of a VM are taken for unknown.
 MAX_SIZE = 1e9
 EndpointDecoder = Callable[[StoredObject], Endpoint]
@@ -306,15 +304,11 @@
         self._on_unlisted = on_unlisted
         self._log = log
         self._listed: set[str] = set()
-        self._settling: Subscription | None = None
+        self._restore_period = RestorePeriod(view.timers, self._drop_missing)
 
     def on_restored(self) -> None:
         """Starts the time in which nodes register again."""
-        if self._settling is not None:
-            self._settling.cancel()
-        self._settling = self._view.timers.call_later(
-            RESTORE_PERIOD_S, self._settle
-        )
+        self._restore_period.begin()
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
@@ -341,16 +335,12 @@
 
     def _replace(self, objects: list[StoredObject]) -> None:
         self._listed = {stored.name for stored in objects}
-        if self._settling is None:
+        if not self._restore_period.is_active:
             self._drop_missing()
         for stored in objects:
             self._put(stored)
         self._view.on_peers_listed()
 
-    def _settle(self) -> None:
-        self._settling = None
-        self._drop_missing()
-
     def _drop_missing(self) -> None:
         for name in set(self._view.peers) - self._listed:
             self._drop(name)
@@ -395,32 +385,26 @@
         self, view: NodeView, decode: MoveDecoder, log: DecisionLog
     ) -> None:
         super().__init__(view, decode, log)
-        # Orders as read last, by service.
+        # Services that have an order, and the orders that are valid.
+        self._listed: set[str] = set()
         self._orders: dict[str, VersionMove] = {}
-        self._settling: Subscription | None = None
+        self._restore_period = RestorePeriod(view.timers, self._settle)
 
     def on_restored(self) -> None:
         """Starts the time in which orders are written again."""
-        if self._settling is not None:
-            self._settling.cancel()
-        self._settling = self._view.timers.call_later(
-            RESTORE_PERIOD_S, self._settle
-        )
+        self._restore_period.begin()
 
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
+        self._listed.clear()
         self._orders.clear()
         for stored in objects:
             self._read(stored)
-        if self._settling is None:
+        is_settled = not self._restore_period.is_active
+        if is_settled:
             self._withdraw_missing()
         for move in self._orders.values():
-            tracked = self._view.moves.moves.get(move.service)
-            if (
-                self._settling is None
-                or tracked is None
-                or tracked.move.target == move.target
-            ):
+            if is_settled or not self._has_other_target(move):
                 self._offer(move)
 
     def merge(self, objects: list[StoredObject]) -> None:
@@ -433,6 +417,7 @@
     def apply(self, event: ObjectEvent) -> None:
         """Applies one change."""
         if event.deleted:
+            self._listed.discard(event.object.name)
             self._orders.pop(event.object.name, None)
             self._view.moves.withdraw(event.object.name)
             return
@@ -441,26 +426,30 @@
             self._offer(move)
 
     def _read(self, stored: StoredObject) -> VersionMove | None:
+        self._listed.add(stored.name)
         move = self._decode_or_none(stored)
         if move is not None:
             self._orders[move.service] = move
         return move
 
+    def _has_other_target(self, move: VersionMove) -> bool:
+        """Returns whether another order of the service is followed."""
+        tracked = self._view.moves.moves.get(move.service)
+        return tracked is not None and tracked.move.target != move.target
+
     def _withdraw_missing(self) -> None:
-        for service in set(self._view.moves.moves) - set(self._orders):
+        for service in set(self._view.moves.moves) - self._listed:
             self._view.moves.withdraw(service)
 
     def _settle(self) -> None:
         """Takes the orders that are stored for the latest ones."""
-        self._settling = None
         self._withdraw_missing()
         for move in self._orders.values():
-            tracked = self._view.moves.moves.get(move.service)
-            if tracked is None or tracked.move.target != move.target:
+            if self._has_other_target(move):
                 self._offer(move)
 
     def _offer(self, move: VersionMove, *, may_be_old: bool = False) -> None:
-        may_be_lost = self._settling is not None and not may_be_old
+        may_be_lost = self._restore_period.is_active and not may_be_old
         self._view.moves.offer(
             move,
             self._view.timers.now(),
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/watch.py
@@ -122,8 +122,9 @@
         self._rng = rng
         self._availability = availability or ApiAvailability()
         self._store_era = store_era or StoreEra(timers)
-        # Era of the objects.
+        # Eras of the last list and of the last copy of a peer.
         self._era = 0
+        self._copy_era = 0
         self._on_change = on_change
         self._version: str | None = None
         self._last_response_s: float | None = None
@@ -149,8 +150,8 @@
 
     @property
     def era(self) -> int:
-        """Era of the object API that the objects are of."""
-        return self._era
+        """Latest era of the object API that the objects are of."""
+        return max(self._era, self._copy_era)
 
     def copy(self) -> list[StoredObject]:
         """Returns the objects for a peer that asks for them."""
@@ -196,7 +197,7 @@
 
     def merge_copy(self, objects: list[StoredObject]) -> None:
         """Replaces the objects with the copy of a peer."""
-        self._era = max(self._era, latest_era(objects))
+        self._copy_era = latest_era(objects)
         self._store_objects(objects)
         self._sink.merge(objects)
 
--- a/packages/guavalane-entry/tests/gateway/test_restored_orders.py
+++ b/packages/guavalane-entry/tests/gateway/test_restored_orders.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from guavalane_core.exceptions import ConfigurationError
 from guavalane_core.forwarding import MovePhase, VersionMove
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.sinks import RESTORE_PERIOD_S, MoveSink
+from guavalane_entry.gateway.restore_period import RESTORE_PERIOD_S
+from guavalane_entry.gateway.sinks import MoveSink
 from guavalane_entry.gateway.view import NodeView
 from guavalane_standins.gateway_rig import make_settings
 
@@ -19,7 +21,9 @@
 
 
 def decode(stored):
-    """Decodes an order."""
+    """Decodes an order; one without a target is invalid."""
+    if "target" not in stored.body:
+        raise ConfigurationError(["the order has no target"])
     phase = MovePhase(stored.status.get("phase", "ordered"))
     return VersionMove(stored.name, stored.body["target"], LIMIT_S, phase)
 
@@ -106,6 +110,17 @@
         node.timers.advance(RESTORE_PERIOD_S)
         assert node.followed is before
 
+    @pytest.mark.parametrize("is_restored", [True, False])
+    def test_an_order_that_becomes_invalid_withdraws_nothing(
+        self, node, is_restored
+    ):
+        before = node.followed
+        if is_restored:
+            node.sink.on_restored()
+        node.sink.replace_all([StoredObject("moves", "app", "1", {})])
+        node.timers.advance(RESTORE_PERIOD_S)
+        assert node.followed is before
+
     def test_a_missing_order_is_withdrawn_after_that_time(self, node):
         node.restore()
         node.timers.advance(RESTORE_PERIOD_S)
--- a/packages/guavalane-entry/tests/gateway/test_sinks.py
+++ b/packages/guavalane-entry/tests/gateway/test_sinks.py
@@ -11,8 +11,8 @@
 from guavalane_core.objects import ObjectEvent, StoredObject
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
+from guavalane_entry.gateway.restore_period import RESTORE_PERIOD_S
 from guavalane_entry.gateway.sinks import (
-    RESTORE_PERIOD_S,
     ConfigurationSink,
     EndpointSink,
     PeerSink,
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -185,6 +185,20 @@
         assert watch.era == 2
         await watch.stop()
 
+    async def test_a_copy_of_the_new_era_does_not_hide_the_return(self):
+        api = RestoredApi()
+        api.put("lost", {})
+        watch, sink = make_watch(api)
+        watch.start()
+        await run_ready_tasks()
+        api.restore(1, {})
+        watch.merge_copy([StoredObject("things", "a", "2.5", {})])
+        assert watch.era == 2
+        watch.refresh()
+        await run_ready_tasks()
+        assert sink.calls == ["merge", "restored after ['a']"]
+        await watch.stop()
+
     async def test_the_first_list_is_not_taken_for_a_return(self):
         api = RestoredApi()
         api.era = 5
