Wait for a lease that does not exist also at the first start

A process of the first start took a missing lease for new and created it at once. If its first contact with the store was after a return that had lost the lease, the holder of the lost seconds was still valid: the state machine of leases found two holders once it also started processes for the first time. Without eras nothing changes.

--- a/packages/guavalane-core/src/guavalane_core/leases/holder.py
+++ b/packages/guavalane-core/src/guavalane_core/leases/holder.py
@@ -106,8 +106,6 @@
       restarts_take_over: Whether a later incarnation of the stored holder
           acquires the lease at once. Only safe if a node never runs two
           processes at the same time, so that the earlier one has ended.
-      is_first_start: Whether no process has run before, so that a lease that
-          does not exist was not forgotten.
     """
 
     def __init__(
@@ -120,7 +118,6 @@
         duration_s: float = DEFAULT_DURATION_S,
         takeover_delay_s: float = 0.0,
         restarts_take_over: bool = False,
-        is_first_start: bool = False,
     ) -> None:
         self._api = api
         self._writer = ConditionalWriter(api)
@@ -132,7 +129,6 @@
         self._duration_s = duration_s
         self._takeover_delay_s = takeover_delay_s
         self._restarts_take_over = restarts_take_over
-        self._is_first_start = is_first_start
         self._lock = asyncio.Lock()
         self._stored: StoredObject | None = None
         self._valid_until = 0.0
@@ -302,8 +298,7 @@
         sent_at, offset = self._read_clocks()
         stored, lease, era = await self._read()
         if lease is None:
-            may_be_forgotten = era > 0 and not self._is_first_start
-            wait_s = self._duration_s if may_be_forgotten else 0.0
+            wait_s = self._duration_s if era > 0 else 0.0
             is_available = self._has_waited(f"none in {era}", wait_s, sent_at)
             number = 0
         else:
@@ -325,11 +320,12 @@
         try:
             stored = await self._api.get(KIND, self._name)
         except ObjectNotFoundError as error:
+            stored, lease, era = None, None, error.era
             self._seen_holder = ""
-            return None, None, error.era
-        lease = Lease.from_body(stored.body)
-        self._seen_holder = "" if lease.released else lease.holder
-        return stored, lease, era_of(stored.version)
+        else:
+            lease, era = Lease.from_body(stored.body), era_of(stored.version)
+            self._seen_holder = "" if lease.released else lease.holder
+        return stored, lease, era
 
     def _is_own(self, lease: Lease) -> bool:
         return lease.identity == self._identity and not lease.released
--- a/packages/guavalane-core/tests/test_leases.py
+++ b/packages/guavalane-core/tests/test_leases.py
@@ -409,24 +409,29 @@
         api.restore(api.take_copy())
         return api
 
-    def make(self, api, timers, name, incarnation=1, **changes):
+    def make(self, api, timers, name, incarnation=1):
         """Returns a holder."""
-        values = {"is_first_start": True, "restarts_take_over": True}
         return LeaseHolder(
-            api, timers, "l", name, incarnation, 6.0, **{**values, **changes}
+            api, timers, "l", name, incarnation, 6.0, restarts_take_over=True
         )
 
+    async def acquire_first(self, api, timers, holder):
+        """Lets a holder acquire a lease that does not exist."""
+        assert not await holder.acquire()
+        timers.advance(6.1)
+        assert await holder.acquire()
+
     @pytest.mark.parametrize("is_stored", [True, False])
     async def test_a_valid_holder_keeps_lease_and_number(self, api, is_stored):
         timers = ManualTimers()
         first = self.make(api, timers, "a")
         earlier = api.take_copy()
-        assert await first.acquire()
+        await self.acquire_first(api, timers, first)
         if is_stored:
             earlier = api.take_copy()
         number = first.fencing_number
         api.restore(earlier)
-        other = self.make(api, timers, "b", is_first_start=False)
+        other = self.make(api, timers, "b")
         assert not await other.acquire()
         timers.advance(3.0)
         assert await first.renew()
@@ -441,7 +446,7 @@
         """Guards against a lease that was taken in the lost seconds."""
         timers = ManualTimers()
         first, second, third = (self.make(api, timers, n) for n in "abc")
-        assert await first.acquire()
+        await self.acquire_first(api, timers, first)
         if was_released:
             await first.release()
         earlier = api.take_copy()
@@ -460,19 +465,28 @@
     async def test_a_restarted_holder_does_not_take_over_at_once(self, api):
         timers = ManualTimers()
         first, second = (self.make(api, timers, n) for n in "ab")
-        assert await first.acquire()
+        await self.acquire_first(api, timers, first)
         earlier = api.take_copy()
         await first.release()
         assert await second.acquire()
         api.restore(earlier)
-        again = self.make(api, timers, "a", 2, is_first_start=False)
+        again = self.make(api, timers, "a", 2)
         assert not await again.acquire()
         assert second.check()
 
+    async def test_a_node_whose_first_contact_is_later_waits(self, api):
+        timers = ManualTimers()
+        earlier = api.take_copy()
+        first, second = (self.make(api, timers, n) for n in "ab")
+        await self.acquire_first(api, timers, first)
+        api.restore(earlier)
+        assert not await second.acquire()
+        assert first.check()
+
     async def test_a_holder_whose_validity_ended_waits(self, api):
         timers = ManualTimers()
         first, second = (self.make(api, timers, n) for n in "ab")
-        assert await first.acquire()
+        await self.acquire_first(api, timers, first)
         earlier = api.take_copy()
         assert not await second.acquire()
         timers.advance(6.1)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/duties.py
@@ -92,7 +92,6 @@
       reports: Peer reports.
       timers: Timer service.
       incarnation: Incarnation of this process.
-      is_first_start: Whether no process of any node has run before.
     """
 
     def __init__(
@@ -101,8 +100,6 @@
         reports: PeerReports,
         timers: Timers,
         incarnation: int,
-        *,
-        is_first_start: bool = False,
     ) -> None:
         settings = context.view.settings
         self._context = context
@@ -117,7 +114,6 @@
             duration_s=LEASE_DURATION_FACTOR * settings.lease_s,
             takeover_delay_s=settings.lease_s,
             restarts_take_over=True,
-            is_first_start=is_first_start,
         )
         self._duties: dict[str, Duty] = {}
         self._last_claimed_s = timers.now()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -112,7 +112,7 @@
       timers: Timer service.
       rng: Random number generator.
       is_first_start: Whether no process of any node has run before, whose
-          retries would count and whose lease may be forgotten.
+          retries would count.
     """
 
     def __init__(
@@ -251,11 +251,7 @@
             self._reports.live_peers,
         )
         self._duties = DutyRunner(
-            context,
-            self._reports,
-            timers,
-            self._incarnation,
-            is_first_start=is_first_start,
+            context, self._reports, timers, self._incarnation
         )
         self._add_gauges()
         self._stopping = False
--- a/packages/guavalane-entry/tests/gateway/test_duty_runner.py
+++ b/packages/guavalane-entry/tests/gateway/test_duty_runner.py
@@ -52,13 +52,14 @@
             move_orders=MoveOrders({}, lambda move, phase: {}),
             live=list,
         )
-        runner = DutyRunner(
-            context, NoReports(), timers, 1, is_first_start=True
-        )
+        runner = DutyRunner(context, NoReports(), timers, 1)
         runner._on_change = lambda held: None
         runner.start()
-        await timers.run_for(0.1)
-        assert runner.current_fencing_number()
+        # A lease that does not exist may have been lost.
+        for _ in range(200):
+            await timers.run_for(0.05)
+            if runner.current_fencing_number():
+                break
         api.faults.down = True
         yield runner, view, timers, api, earlier
         api.faults.down = False
