--- a/packages/guavalane-entry/src/guavalane_entry/line_writer.py
+++ b/packages/guavalane-entry/src/guavalane_entry/line_writer.py
@@ -29,6 +29,8 @@
       render: Function that returns the text of a line, with its end.
       render_drops: Function that returns the line that reports how many lines
           were dropped so far.
+      is_prompt: Whether each line is written at once. Otherwise lines are
+          gathered, which costs less if there are many.
     """
 
     def __init__(
@@ -37,10 +39,13 @@
         stream: TextIO,
         render: Callable[[T], str],
         render_drops: Callable[[int], str],
+        *,
+        is_prompt: bool = False,
     ) -> None:
         self._stream = stream
         self._render = render
         self._render_drops = render_drops
+        self._is_prompt = is_prompt
         self._queue: deque[T] = deque()
         self._wake = threading.Event()
         self._stopping = False
@@ -72,10 +77,13 @@
             self._dropped += 1
         else:
             self._queue.append(line)
+            if self._is_prompt:
+                self._wake.set()
 
     def _write_lines(self) -> None:
         while True:
             self._wake.wait(WRITER_PERIOD_S)
+            self._wake.clear()
             stopping = self._stopping
             if not self._drain() or stopping:
                 return
--- a/packages/guavalane-entry/src/guavalane_entry/logs.py
+++ b/packages/guavalane-entry/src/guavalane_entry/logs.py
@@ -57,7 +57,9 @@
     level: str,
     line_format: str = PLAIN_FORMAT,
 ) -> None:
-    writer: LineWriter[Any] = LineWriter("log", stream, render, _render_drops)
+    writer: LineWriter[Any] = LineWriter(
+        "log", stream, render, _render_drops, is_prompt=True
+    )
     writer.start()
     atexit.register(writer.stop)
     logger.remove()
--- a/packages/guavalane-entry/tests/test_logs.py
+++ b/packages/guavalane-entry/tests/test_logs.py
@@ -7,6 +7,8 @@
 import sys
 import time
 
+from guavalane_entry.line_writer import WRITER_PERIOD_S, LineWriter
+
 # Lines that a process logs, more than the pipe of its log holds.
 LINES = 3000
 PROGRAM = f"""
@@ -42,6 +44,17 @@
             process.kill()
             process.communicate()
 
+    def test_a_line_is_written_at_once(self):
+        read_end, write_end = os.pipe()
+        with os.fdopen(read_end) as reader, os.fdopen(write_end, "w") as stream:
+            writer = LineWriter("log", stream, str, str, is_prompt=True)
+            writer.start()
+            began_s = time.monotonic()
+            writer.put("line\n")
+            assert reader.readline() == "line\n"
+            assert time.monotonic() - began_s < WRITER_PERIOD_S / 2
+            writer.stop()
+
     def test_all_lines_are_written_at_the_end(self):
         process = start()
         began_s = time.monotonic()
