--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_store.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_store.py
@@ -197,7 +197,7 @@
         self._is_restored = False
 
     def on_restored(self) -> None:
-        """Takes quarantines that the next list lacks for lost."""
+        """Records that quarantines missing from the next list were lost."""
         self._is_restored = True
 
     def is_stored(self, part_id: str) -> bool:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -442,7 +442,7 @@
             self._view.moves.withdraw(service)
 
     def _settle(self) -> None:
-        """Takes the orders that are stored for the latest ones."""
+        """Follows the stored orders once no lost ones are expected."""
         self._withdraw_missing()
         for move in self._orders.values():
             if self._has_other_target(move):
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/store_era.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/store_era.py
@@ -8,7 +8,7 @@
 
 
 class StoreEra:
-    """Latest era that a response of the object API has told.
+    """Latest era seen in a response of the object API.
 
     An object API that comes back from an older copy begins a new era. What it
     acknowledged shortly before may be missing then.
--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -123,7 +123,7 @@
         ):
             return False
         value = message.headers.get(self._identity.header)
-        # A body without a length would swallow the response to the request.
+        # A body without a length would include the response to the request.
         has_end = (
             "Content-Length" in message.headers
             or message.chunked
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -6,7 +6,6 @@
 import json
 
 import pytest
-from aiohttp import web
 
 from guavalane_core.exceptions import (
     ObjectApiUnavailableError,
@@ -17,25 +16,9 @@
 )
 from guavalane_core.objects import ConditionalWriter
 from guavalane_platform.objects import MAX_IDLE_S, StoreObjectApi
-from guavalane_platform_standins.store import StoreServer
-from guavalane_standins.processes import free_port
 from guavalane_standins.scripted_endpoint import ScriptedEndpoint
 
 
-@pytest.fixture
-async def store():
-    """Yields a running stand-in store and a client."""
-    server = StoreServer()
-    runner = web.AppRunner(server.application(), shutdown_timeout=0.1)
-    await runner.setup()
-    port = free_port()
-    await web.TCPSite(runner, "127.0.0.1", port).start()
-    client = StoreObjectApi(f"127.0.0.1:{port}")
-    yield server, client
-    await client.close()
-    await runner.cleanup()
-
-
 class TestStoreObjectApi:
     """Guards against misjudged write outcomes and missed changes."""
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -5,7 +5,6 @@
 import asyncio
 
 import pytest
-from aiohttp import web
 
 from guavalane_core.exceptions import (
     ObjectApiUnavailableError,
@@ -15,23 +14,6 @@
     WriteOutcomeUnknownError,
 )
 from guavalane_core.objects import era_of
-from guavalane_platform.objects import StoreObjectApi
-from guavalane_platform_standins.store import StoreServer
-from guavalane_standins.processes import free_port
-
-
-@pytest.fixture
-async def store():
-    """Yields a running stand-in store and a client."""
-    server = StoreServer()
-    runner = web.AppRunner(server.application(), shutdown_timeout=0.1)
-    await runner.setup()
-    port = free_port()
-    await web.TCPSite(runner, "127.0.0.1", port).start()
-    client = StoreObjectApi(f"127.0.0.1:{port}")
-    yield server, client
-    await client.close()
-    await runner.cleanup()
 
 
 class TestWatch:
