Log the connection of the response with each failed attempt

Two attempts of one request whose refusals came on the same connection could not be told from two endpoints that both refused it.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -111,6 +111,11 @@
         """Late copies of other responses that came before this one."""
         return self.protocol.skipped_copies
 
+    @property
+    def connection(self) -> int:
+        """Number of the connection in this process."""
+        return self.protocol.number
+
     def header(self, name: str) -> str | None:
         """Returns a header; None if it is missing."""
         return self.response.headers.get(name)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -237,6 +237,7 @@
             endpoint=endpoint.endpoint_id,
             outcome=outcome.value,
             status=self._progress.last_status,
+            connection=self._progress.last_connection,
             decision=decision.value,
             possibly_run=self._progress.possibly_run,
             repeats=budget.repeats,
@@ -264,6 +265,7 @@
         )
         progress.tried.add(endpoint.endpoint_id)
         progress.last_status = None
+        progress.last_connection = None
         now_s = self._now()
         view.ejector.on_dispatch(endpoint.endpoint_id, now_s)
         view.endpoint_rates.draw(endpoint.endpoint_id)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -24,6 +24,8 @@
       longest_gap_s: Longest gap between two reads of its stream, in seconds.
       last_outcome: Outcome of the attempt before; empty at the first one.
       last_status: Status of the last endpoint response; None without one.
+      last_connection: Number of the connection of the last endpoint response;
+          None without one.
       last_failure: Status, headers and body of an endpoint's error response,
           forwarded if no attempt succeeds.
       output_s: Monotonic time at which the output of the current attempt began,
@@ -44,6 +46,7 @@
     longest_gap_s: float = 0.0
     last_outcome: str = ""
     last_status: int | None = None
+    last_connection: int | None = None
     last_failure: tuple[int, list[tuple[str, str]], bytes] | None = None
     output_s: float | None = None
     served: bool = False
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -81,6 +81,7 @@
         """
         names = self._components.codec.names
         self._progress.last_status = response.status
+        self._progress.last_connection = response.connection
         if response.skipped_copies:
             self._components.log.request(
                 "attempt.copies_skipped",
--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -4,6 +4,7 @@
 
 import contextvars
 import functools
+import itertools
 from typing import Any
 
 import aiohttp
@@ -27,6 +28,9 @@
 # off, in bytes. The smallest nodes have 200 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+# Numbers of the connections of this process, for logs.
+_numbers = itertools.count(1)
+
 # Protocol of the connection that the current task acquired last. A response no
 # longer exposes it once its body has ended.
 current_protocol: contextvars.ContextVar[Any] = contextvars.ContextVar(
@@ -68,6 +72,7 @@
 
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
+        self._number = next(_numbers)
         self._identity: ResponseIdentity | None = None
         self._skipped_copies = 0
         # Whether the body that is read belongs to a copy.
@@ -77,6 +82,11 @@
         self._body: Any = None
         self._requests = 0
 
+    @property
+    def number(self) -> int:
+        """Number of the connection in this process, from 1."""
+        return self._number
+
     @property
     def is_first_request(self) -> bool:
         """Whether the connection was not used for an earlier request."""
