Never send a request again on a connection that has carried it

Callers got 503 for requests that an endpoint ran (REFUSED), and some requests that may run once ran at two endpoints (TWICE).

Cause: the response to a request is told from late copies of others by its ID alone. The copy of a refusal bears the ID of the refused request, so if that request is sent again on the same connection, the copy reads as its response. An attempt excludes the endpoint IDs that were tried, but connections belong to addresses: an endpoint that restarts under its address has another ID, and the request that it refused with 421, or with 503 before, goes to the same connection. The class of fault is that the identity of a message was inferred from a property (one endpoint ID, one connection) that nothing ensures.

Change: a connection remembers the requests that it has carried and is closed rather than used for one of them again, whatever chose the endpoint. After 1,024 requests it is closed as well, so that its memory is bounded.

The sheet plays got a disturbance in which endpoints restart under their addresses and send copies of refusals.

--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -24,6 +24,9 @@
 MAX_SKIPPED_COPIES = 4
 MAX_SKIPPED_BODY_BYTES = 64 * 1024
 
+# Identified requests after which a connection is closed, as it remembers each.
+MAX_IDENTIFIED_REQUESTS = 1024
+
 # Body of a response of another node or of the platform above which it is broken
 # off, in bytes. The smallest nodes have 200 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -67,7 +70,9 @@
 
     A server may send a copy of a response late, on a connection that is in use
     again. If responses are marked, a copy is skipped: the server still works on
-    the request, which must not go on elsewhere.
+    the request, which must not go on elsewhere. The mark of a request that is
+    sent again tells nothing on a connection that has carried it before, so such
+    a connection must not carry it again.
     """
 
     def __init__(self, loop: Any) -> None:
@@ -81,6 +86,14 @@
         self._interim_responses = 0
         self._body: Any = None
         self._requests = 0
+        # Hashes of the identities of the requests so far.
+        self._carried: set[int] = set()
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection must not be used for another request."""
+        is_full = len(self._carried) >= MAX_IDENTIFIED_REQUESTS
+        return is_full or super().should_close
 
     @property
     def number(self) -> int:
@@ -97,6 +110,14 @@
         """Late copies of other responses before the last response."""
         return self._skipped_copies
 
+    def has_carried(self, identity: ResponseIdentity | None) -> bool:
+        """Returns whether a request was sent on this connection before.
+
+        Args:
+          identity: Identity of its response, if the server marks responses.
+        """
+        return identity is not None and hash(identity) in self._carried
+
     def begin_response(self, identity: ResponseIdentity | None = None) -> None:
         """Resets the limits for the response to the next request.
 
@@ -105,6 +126,8 @@
         """
         self._requests += 1
         self._identity = identity
+        if identity is not None:
+            self._carried.add(hash(identity))
         self._skipped_copies = 0
         self._is_skipping = False
         self._received = 0
@@ -170,10 +193,12 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Connector that never reuses a connection with unread bytes.
+    """Connector that reuses connections whose next response can be identified.
 
     A server may send bytes after a complete response while the connection is
-    idle; aiohttp would parse them as the response to the next request.
+    idle; aiohttp would parse them as the response to the next request. A
+    connection with unread bytes is closed, and so is one that has carried the
+    request before.
     """
 
     def __init__(self, **kwargs: Any) -> None:
@@ -185,11 +210,13 @@
 
     async def connect(self, *args: Any, **kwargs: Any) -> Any:
         """Returns a connection; the arguments are those of the base class."""
+        identity = expected_identity.get()
         while True:
             connection = await super().connect(*args, **kwargs)
-            if not connection.protocol.should_close:
-                connection.protocol.begin_response(expected_identity.get())
-                current_protocol.set(connection.protocol)
+            protocol = connection.protocol
+            if not (protocol.should_close or protocol.has_carried(identity)):
+                protocol.begin_response(identity)
+                current_protocol.set(protocol)
                 return connection
             connection.close()
 
--- a/packages/guavalane-entry/tests/gateway/test_forwarding.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarding.py
@@ -8,6 +8,7 @@
 import pytest
 
 from guavalane_core.forwarding import Delivery, Organisation
+from guavalane_entry import http_connection
 from guavalane_entry.http_connection import (
     MAX_SKIPPED_BODY_BYTES,
     MAX_SKIPPED_COPIES,
@@ -394,6 +395,77 @@
             assert len(endpoint.requests) == 2
             assert other.requests == []
 
+    @pytest.mark.parametrize("status", [421, 503])
+    @pytest.mark.parametrize("parts", [1, 3])
+    @pytest.mark.parametrize("copies", [1, 2])
+    async def test_a_request_is_not_refused_by_the_copy_of_its_refusal(
+        self, status, parts, copies
+    ):
+        """Guards against `not run` for what a restarted endpoint runs."""
+
+        async def refuse_then_run(exchange):
+            refusal = {**echo_headers(exchange), NAMES.not_run: "1"}
+            del refusal[NAMES.proof]
+            if exchange.request.header(NAMES.expected_endpoint) == "e-1":
+                await exchange.answer(status, refusal, b"refused")
+                # The endpoint has restarted under its address.
+                directory = rig.view.directory
+                directory.put(make_endpoint("e-2", address=endpoint.address))
+                directory.remove("e-1", rig.view.timers.now())
+                return
+            if exchange.request.connection == 0:
+                for _ in range(copies):
+                    await exchange.answer(
+                        status, refusal, b"refused", parts=parts
+                    )
+            await asyncio.sleep(0.1)
+            await exchange.answer(200, echo_headers(exchange), b"ran")
+
+        async with GatewayRig(ONCE) as rig:
+            endpoint = await rig.add_endpoint(refuse_then_run)
+            async with rig.call() as answer:
+                assert answer.status == 200
+                assert await answer.read() == b"ran"
+            async with rig.call(request_id="q-2") as answer:
+                assert answer.status == 200
+            assert [r.header(NAMES.request_id) for r in endpoint.requests] == [
+                "q-1",
+                "q-1",
+                "q-2",
+            ]
+
+    async def test_a_caller_that_reuses_an_id_gets_no_copy_of_a_refusal(self):
+        async def refuse_first(exchange):
+            refusal = {**echo_headers(exchange), NAMES.not_run: "1"}
+            if len(endpoint.requests) == 1:
+                await exchange.answer(503, refusal)
+                return
+            if exchange.request.connection == 0:
+                await exchange.answer(503, refusal)
+            await asyncio.sleep(0.1)
+            await exchange.answer(200, echo_headers(exchange), b"ran")
+
+        async with GatewayRig(ONCE) as rig:
+            endpoint = await rig.add_endpoint(refuse_first)
+            statuses = []
+            for _ in range(2):
+                async with rig.call() as answer:
+                    statuses.append(answer.status)
+            assert statuses == [503, 200]
+
+    async def test_a_connection_remembers_a_limited_number_of_requests(
+        self, monkeypatch
+    ):
+        """Guards against memory that grows with the age of a connection."""
+        monkeypatch.setattr(http_connection, "MAX_IDENTIFIED_REQUESTS", 2)
+        async with GatewayRig(ONCE) as rig:
+            endpoint = await rig.add_endpoint(answer_with())
+            for number in range(5):
+                async with rig.call(request_id=f"q-{number}") as answer:
+                    assert answer.status == 200
+            used = [request.connection for request in endpoint.requests]
+            assert used == [0, 0, 1, 1, 2]
+
     async def test_a_response_without_a_proof_is_not_forwarded(self):
         async def answer_without_proof(exchange):
             headers = {NAMES.request_id: "q-1"}
--- a/packages/guavalane-standins/src/guavalane_standins/scripted_endpoint.py
+++ b/packages/guavalane-standins/src/guavalane_standins/scripted_endpoint.py
@@ -10,6 +10,8 @@
 import attrs
 
 MAX_HEADER_BYTES = 65_536
+# Time between the parts of a response that is sent in parts, in seconds.
+PART_PAUSE_S = 0.02
 
 
 @attrs.frozen
@@ -65,13 +67,27 @@
         status: int,
         headers: dict[str, str],
         body: bytes = b"",
+        *,
+        parts: int = 1,
     ) -> None:
-        """Sends a complete response with a Content-Length header."""
+        """Sends a complete response with a Content-Length header.
+
+        Args:
+          status: HTTP status.
+          headers: Headers.
+          body: Body.
+          parts: Number of parts in which it is sent, with pauses in between.
+        """
         lines = [f"HTTP/1.1 {status} Status"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-        await self.send(head + body)
+        data = head + body
+        size = -(-len(data) // parts)
+        for start in range(0, len(data), size):
+            if start:
+                await asyncio.sleep(PART_PAUSE_S)
+            await self.send(data[start : start + size])
 
     async def close(self) -> None:
         """Closes the connection after flushing sent data."""
--- a/tests/platform/soak/test_sheet.py
+++ b/tests/platform/soak/test_sheet.py
@@ -16,6 +16,8 @@
     (3, ("nodes_restart_without_peers", "service_rejects")),
     # A silent endpoint went on after its streams had moved to another one.
     (5, ("endpoints_preempt",)),
+    # The copy of a refusal was taken for the response to the same request.
+    (22, ("endpoints_restart_and_repeat",)),
     (4, ("responses_lost", "node_slow", "endpoints_reject")),
 )
 
