Log a digest of each request whose response breaks off

Nothing in the logs told that two requests at crashed endpoints were the same one. attempt.broken now ends with a digest of method, host, target, caller and body. It is keyed, so that neither body nor caller can be guessed from a report or a log. The key is an object of the kind quarantines, which all nodes watch already: the node that finds none stores its own, and it outlasts all nodes and a store that has lost it. Nothing is decided on the digest yet.

Three tests of quarantines list the stored quarantines without the key; they check as much as before.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -14,7 +14,7 @@
     Route,
     Service,
 )
-from guavalane_core.quarantine import Quarantine
+from guavalane_core.quarantine import Quarantine, RequestParts
 from guavalane_entry.gateway.errors import (
     AllotmentSpentError,
     EndpointsLimitedError,
@@ -53,6 +53,7 @@
       organisation: Organisation that is charged; None on public routes.
       units: Units that it draws from the allotment.
       version: Version of the configuration that was applied.
+      parts: What the request has in common with others.
       is_trial: Whether it tries a quarantined prompt part on purpose.
     """
 
@@ -61,6 +62,7 @@
     organisation: Organisation | None
     units: int
     version: int
+    parts: RequestParts
     is_trial: bool = False
 
     @property
@@ -152,6 +154,8 @@
             f"route {route.name} leads to no service",
             with_jitter(view, UNAVAILABLE_RETRY_S),
         )
+    caller = "" if organisation is None else organisation.name
+    parts = RequestParts(view.digest_key, request, caller)
     quarantine = view.quarantines.find(request.prompt)
     if quarantine is not None and not is_trial:
         raise make_quarantined_error(view, quarantine)
@@ -175,6 +179,7 @@
         organisation,
         units,
         table.configuration.version,
+        parts,
         is_trial,
     )
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -298,7 +298,7 @@
                 endpoint=endpoint.endpoint_id,
                 reason=str(error),
                 received_events=progress.events - events_before,
-                parts=request.prompt.shared_parts if request.prompt else (),
+                parts=self._admitted.parts.all,
             )
             outcome = AttemptOutcome.BROKEN
             self._check_for_crash(endpoint, sample)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
@@ -40,6 +40,9 @@
 # as well, in seconds. The node that saw the last crash stores it at once.
 MIN_SAVE_DELAY_S = 0.4
 MAX_SAVE_DELAY_S = 1.2
+# Additional delay per node before the key of digests is stored, in seconds: all
+# nodes of a new deployment find that there is none at the same time.
+KEY_DELAY_S = 0.05
 # Range of the delay before a superseded quarantine is deleted, in seconds. It
 # exceeds the delay of its write, which other nodes may still begin.
 MIN_DELETE_DELAY_S = 2.0
@@ -75,8 +78,13 @@
         self._send = send
         self._store = QuarantineStore(api, timers, log)
         self._sink = QuarantineSink(
-            self._adopt, self._release_deleted, self._save_later, log
+            self._adopt,
+            self._release_deleted,
+            self._save_later,
+            self._use_digest_key,
+            log,
         )
+        self._has_stored_key = False
         self._repetitions_left = 0
         self._report_timer = ReportTimer(view, timers, self._send_report)
         self._next_evaluation: Subscription | None = None
@@ -257,6 +265,19 @@
         if part in self._table.quarantines:
             self._save(part, self._draw_save_delay_s())
 
+    def _use_digest_key(self, key: bytes | None) -> None:
+        """Applies the stored key, or stores that of this node without one."""
+        self._has_stored_key = key is not None
+        if key is not None:
+            self._view.update_digest_key(key)
+            return
+        self._store.save_digest_key(
+            self._view.digest_key,
+            self._draw_save_delay_s()
+            + self._view.rng.uniform(0, KEY_DELAY_S * self._view.node_count),
+            lambda: not self._has_stored_key,
+        )
+
     def _unsaved(self, part: str) -> bool:
         is_known = part in self._table.quarantines
         return is_known and not self._sink.is_stored(part)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_messages.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_messages.py
@@ -15,6 +15,7 @@
     QuarantineReport,
 )
 from guavalane_core.quarantine import Quarantine, QuarantineTable
+from guavalane_core.quarantine.parts import KEY_BYTES
 
 # Age up to which crashes and quarantines are reported, in seconds. Older
 # quarantines are read from the object API.
@@ -119,6 +120,27 @@
     return Quarantine(part, *values)
 
 
+def encode_digest_key(key: bytes) -> dict[str, Any]:
+    """Returns the body of the stored object of the key of digests."""
+    return {"digest_key": key.hex()}
+
+
+def decode_digest_key(body: Mapping[str, Any]) -> bytes:
+    """Decodes the body of the stored key of digests.
+
+    Raises:
+      ConfigurationError: The body is not a key.
+    """
+    text = body.get("digest_key")
+    try:
+        key = bytes.fromhex(text) if isinstance(text, str) else b""
+    except ValueError:
+        key = b""
+    if len(key) != KEY_BYTES:
+        raise ConfigurationError(["not a key of digests"])
+    return key
+
+
 def _body_of(quarantine: Quarantine) -> dict[str, int]:
     return {field: getattr(quarantine, field) for field in _BODY_FIELDS}
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_store.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine_store.py
@@ -18,13 +18,18 @@
 from guavalane_core.timers import Timers
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.quarantine_messages import (
+    decode_digest_key,
     decode_quarantine,
+    encode_digest_key,
     encode_quarantine,
     object_name,
 )
 from guavalane_entry.gateway.watch import KindSink
 
 QUARANTINE_KIND = "quarantines"
+# Name of the object with the key of the digests of requests. It is of the kind
+# that all nodes watch already.
+DIGEST_KEY_NAME = "digest-key"
 # Delay before a failed write is repeated, in seconds.
 RETRY_DELAY_S = 0.5
 
@@ -63,7 +68,27 @@
           delay_s: Delay of the write in seconds.
           is_needed: Returns whether it is still to be stored.
         """
-        self._start(self._save(quarantine, delay_s, is_needed))
+        self._start(
+            self._create(
+                object_name(quarantine.part_id),
+                encode_quarantine(quarantine),
+                delay_s,
+                is_needed,
+            )
+        )
+
+    def save_digest_key(
+        self, key: bytes, delay_s: float, is_needed: Callable[[], bool]
+    ) -> None:
+        """Stores the key of digests in the background, if there is none.
+
+        Args:
+          key: Key.
+          delay_s: Delay of the write in seconds.
+          is_needed: Returns whether it is still to be stored.
+        """
+        body = encode_digest_key(key)
+        self._start(self._create(DIGEST_KEY_NAME, body, delay_s, is_needed))
 
     def delete(
         self,
@@ -128,25 +153,22 @@
             )
         on_claimed(claimed)
 
-    async def _save(
+    async def _create(
         self,
-        quarantine: Quarantine,
+        name: str,
+        body: dict[str, Any],
         delay_s: float,
         is_needed: Callable[[], bool],
     ) -> None:
         await self._timers.sleep(delay_s)
         while is_needed():
             try:
-                await self._api.create(
-                    QUARANTINE_KIND,
-                    object_name(quarantine.part_id),
-                    encode_quarantine(quarantine),
-                )
+                await self._api.create(QUARANTINE_KIND, name, body)
                 return
             except ObjectConflictError:
                 return
             except ObjectApiError as error:
-                self._log_unstored(quarantine.part_id, error)
+                self._log_unstored(body.get("part", name), error)
                 await self._timers.sleep(RETRY_DELAY_S)
 
     async def _delete(
@@ -170,7 +192,7 @@
 
 
 class QuarantineSink(KindSink):
-    """Applies stored quarantines.
+    """Applies stored quarantines and the stored key of digests.
 
     Those that are missing when the object API has come back from a copy were
     lost, not deleted.
@@ -179,6 +201,8 @@
       adopt: Called with each stored quarantine.
       release: Called with the part of each quarantine that was deleted.
       restore: Called with the part of each quarantine that was lost.
+      use_digest_key: Called with the stored key of digests, or with None if a
+          complete list has none.
       log: Decision log.
     """
 
@@ -187,11 +211,13 @@
         adopt: Callable[[Quarantine], None],
         release: Callable[[str], None],
         restore: Callable[[str], None],
+        use_digest_key: Callable[[bytes | None], None],
         log: DecisionLog,
     ) -> None:
         self._adopt = adopt
         self._release = release
         self._restore = restore
+        self._use_digest_key = use_digest_key
         self._log = log
         self._parts: dict[str, str] = {}
         self._is_restored = False
@@ -207,6 +233,8 @@
     def replace_all(self, objects: list[StoredObject]) -> None:
         """Replaces all objects with a complete list."""
         listed = {stored.name for stored in objects}
+        if DIGEST_KEY_NAME not in listed:
+            self._use_digest_key(None)
         on_missing = self._restore if self._is_restored else self._release
         self._is_restored = False
         for name in set(self._parts) - listed:
@@ -227,6 +255,9 @@
 
     def _put(self, stored: StoredObject) -> None:
         try:
+            if stored.name == DIGEST_KEY_NAME:
+                self._use_digest_key(decode_digest_key(stored.body))
+                return
             quarantine = decode_quarantine(stored.body)
         except ConfigurationError as error:
             self._log.event(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -22,7 +22,7 @@
 from guavalane_core.moves.table import MoveTable
 from guavalane_core.objects.relays import RelayCandidate
 from guavalane_core.placement import EngineRates, PrefixDirectory, WorkTable
-from guavalane_core.quarantine import QuarantineTable
+from guavalane_core.quarantine import QuarantineTable, draw_digest_key
 from guavalane_core.routing.ejection import OutlierEjector
 from guavalane_core.timers import Timers
 from guavalane_core.usage import MedianClock, UsageCounts
@@ -77,6 +77,7 @@
             settings.exposure, settings.exposure_slack, self._rng
         )
         self._quarantines = QuarantineTable()
+        self._digest_key = draw_digest_key()
         self._endpoint_rates = EndpointRateLimits(settings.name, rng)
         self._configuration_delays = ConfigurationDelays()
         self._durations = RouteDurations()
@@ -144,6 +145,18 @@
         """Prompt parts in quarantine."""
         return self._quarantines
 
+    @property
+    def digest_key(self) -> bytes:
+        """Key of the digests of requests.
+
+        It is the node's own until that of all nodes is known.
+        """
+        return self._digest_key
+
+    def update_digest_key(self, key: bytes) -> None:
+        """Applies the key of all nodes."""
+        self._digest_key = key
+
     @property
     def endpoint_rates(self) -> EndpointRateLimits:
         """Rate limits that endpoints stated."""
--- a/packages/guavalane-entry/tests/gateway/test_quarantine.py
+++ b/packages/guavalane-entry/tests/gateway/test_quarantine.py
@@ -13,7 +13,10 @@
 from guavalane_core.timers import ManualTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.quarantine import QuarantineService
-from guavalane_entry.gateway.quarantine_store import QUARANTINE_KIND
+from guavalane_entry.gateway.quarantine_store import (
+    DIGEST_KEY_NAME,
+    QUARANTINE_KIND,
+)
 from guavalane_entry.gateway.view import NodeView
 from guavalane_standins.forwarding_samples import make_endpoint, make_prompt
 from guavalane_standins.gateway_rig import make_settings
@@ -82,6 +85,11 @@
                 lambda name=name: self.nodes[name].receive(report),
             )
 
+    async def stored(self):
+        """Returns the stored quarantines."""
+        objects, _ = await self.api.list(QUARANTINE_KIND)
+        return [stored for stored in objects if stored.name != DIGEST_KEY_NAME]
+
     async def follow_store(self):
         """Lets all nodes read the stored quarantines."""
         objects, _ = await self.api.list(QUARANTINE_KIND)
@@ -154,8 +162,7 @@
         for node in fleet.nodes.values():
             assert node.view.quarantines.find(CRASHING) is not None
         await fleet.timers.run_for(2.0)
-        objects, _ = await fleet.api.list(QUARANTINE_KIND)
-        assert len(objects) == 1
+        assert len(await fleet.stored()) == 1
 
     async def test_a_deleted_quarantine_ends_without_a_return(self):
         fleet = Fleet(3)
@@ -168,6 +175,49 @@
             assert node.view.quarantines.find(CRASHING) is None
 
 
+class TestDigestKey:
+    """Guards against nodes that do not recognise a request of another node."""
+
+    async def settle(self, fleet):
+        """Lets the nodes store a key and read it."""
+        await fleet.follow_store()
+        await fleet.timers.run_for(3.0)
+        await fleet.follow_store()
+
+    async def test_all_nodes_use_the_key_that_is_stored_first(self):
+        fleet = Fleet(8)
+        await self.settle(fleet)
+        assert len({n.view.digest_key for n in fleet.nodes.values()}) == 1
+
+    async def test_the_key_outlasts_all_nodes(self):
+        fleet = Fleet(3)
+        await self.settle(fleet)
+        key = fleet.nodes["n0"].view.digest_key
+        for name in fleet.nodes:
+            fleet.start(name)
+        await fleet.follow_store()
+        assert {n.view.digest_key for n in fleet.nodes.values()} == {key}
+
+    async def test_a_store_that_has_lost_the_key_gets_the_same_again(self):
+        fleet = Fleet(3)
+        earlier = fleet.api.take_copy()
+        await self.settle(fleet)
+        key = fleet.nodes["n0"].view.digest_key
+        fleet.api.restore(earlier)
+        await self.settle(fleet)
+        fleet.start("n1")
+        await fleet.follow_store()
+        assert fleet.nodes["n1"].view.digest_key == key
+
+    async def test_an_object_that_is_no_key_is_ignored(self):
+        fleet = Fleet(1)
+        key = fleet.nodes["n0"].view.digest_key
+        body = {"digest_key": "zz"}
+        await fleet.api.create(QUARANTINE_KIND, DIGEST_KEY_NAME, body)
+        await self.settle(fleet)
+        assert fleet.nodes["n0"].view.digest_key == key
+
+
 class TestFleet:
     """Guards against crashing requests that reach endpoints on every node."""
 
@@ -291,14 +341,14 @@
         await fleet.timers.run_for(0.1)
         for node in fleet.nodes.values():
             assert not node.view.quarantines.quarantines
-        assert (await fleet.api.list(QUARANTINE_KIND))[0] == []
+        assert await fleet.stored() == []
 
     async def test_operators_end_a_quarantine_by_deleting_its_object(self):
         fleet = Fleet(8)
         await fleet.play(10.0, 2.0)
         await fleet.timers.run_for(2.0)
         await fleet.follow_store()
-        ((stored,), _) = await fleet.api.list(QUARANTINE_KIND)
+        (stored,) = await fleet.stored()
         await fleet.api.delete(QUARANTINE_KIND, stored.name, stored.version)
         await fleet.follow_store()
         for node in fleet.nodes.values():
--- a/packages/guavalane-standins/src/guavalane_standins/forwarding_samples.py
+++ b/packages/guavalane-standins/src/guavalane_standins/forwarding_samples.py
@@ -6,6 +6,7 @@
 
 from guavalane_core.forwarding import (
     CallerLimits,
+    CallerRequest,
     Delivery,
     Endpoint,
     Engine,
@@ -62,6 +63,20 @@
     )
 
 
+def make_caller_request(**changes: Any) -> CallerRequest:
+    """Returns a request of a caller; `changes` override its fields."""
+    values = {
+        "request_id": "q-1",
+        "method": "POST",
+        "host": "app.example",
+        "target": "/a/x",
+        "headers": (),
+        "body": b"",
+        "arrived_s": 0.0,
+    }
+    return CallerRequest(**{**values, **changes})
+
+
 def make_configuration(
     *routes: Route,
     organisations: tuple[Organisation, ...] | None = None,
