Put requests that crash endpoints in quarantine, also without a prompt

Cause: a crash was looked at only if the request had a prompt, and evidence, suspects and quarantines were of shared prompt parts. Nothing was known of a plain request, so each node and each repetition of the caller began anew, and an idempotent request was repeated at a second endpoint while it crashed the first. For requests with a prompt, a shared part was blamed, which sound requests have as well. The class of fault is evidence that is kept for one kind of request and one kind of cause only.

Change: the digest of a request is its last, most specific part. Three crashes (of different times) at which it was present, without a success in between, put it in quarantine on all nodes. It comes before shared parts, against which all crashes with the same quarantined request count once. After two crashes it is not repeated at another endpoint; a node waits until it knows of the second one. A crash under a suspect counts against no version, now also for plain requests.

Changed tests: requests of test_crashing_prompts.py and TestQuarantine got bodies of their own, as equal ones are now the same request; a test of kept connections counts those with requests, as the check for a crash opens one.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts that crash endpoints."""
+"""Quarantine of prompt parts and requests that crash endpoints."""
 
 from __future__ import annotations
 
--- a/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from guavalane_core.quarantine.parts import is_request
+
 # Crashes within this time of the first one have a common cause, in seconds: the
 # loss of an availability zone crashes many endpoints at once.
 SIMULTANEOUS_S = 0.1
@@ -18,9 +20,9 @@
     Attributes:
       process: Endpoint process, which differs between its restarts.
       at_s: Monotonic time of the crash, in seconds.
-      parts: Shared prompt parts of the requests that the endpoint was about to
-          answer, with their positions in the prompts. One of them may have
-          caused the crash.
+      parts: Parts of the requests that the endpoint was about to answer, with
+          their positions in the requests. One of them may have caused the
+          crash.
     """
 
     process: str
@@ -36,7 +38,7 @@
       at_s: Monotonic time of the first one, in seconds.
       processes: Number of crashed endpoint processes.
       presence: Number of these at which each part was present.
-      positions: Largest position of each part in a prompt.
+      positions: Largest position of each part in a request.
     """
 
     at_s: float
@@ -55,6 +57,10 @@
         """Returns whether one of the parts was present."""
         return any(part in parts for part in self.presence)
 
+    def requests(self) -> Iterator[str]:
+        """Yields the requests that were present."""
+        return filter(is_request, self.presence)
+
     def common_parts(self) -> Iterator[str]:
         """Yields the parts that were present at half of the crashes or more.
 
--- a/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
@@ -1,4 +1,4 @@
-"""Crashes of endpoints and the prompt parts that were present at them."""
+"""Crashes of endpoints and the parts of requests that were present at them."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import attrs
 
 from guavalane_core.quarantine.crash import Crash, group_crashes
+from guavalane_core.quarantine.parts import RequestHeads, is_request
 
 # Interval between crashes that count as separate, in seconds. A part that is
 # sound is usually served in the meantime.
@@ -38,30 +39,48 @@
       separate: Number of those that are separated from the one before.
       unexplained: Number of separate ones without a part in quarantine.
       moments: Number of different times of these crashes.
+      processes: Number of endpoint processes that crashed.
       others: Number of different times of crashes that do not count against the
           part.
-      position: Largest position of the part in a prompt. Parts further back are
-          more specific.
+      position: Largest position of the part in a request. Parts further back
+          are more specific.
+      requests: Requests present at these crashes that are or were in
+          quarantine. All crashes with one of them count once, as it may have
+          caused them.
+      left_out: Number of different times of crashes that do not count for that
+          reason.
     """
 
     first_s: float
     separate: int = 0
     unexplained: int = 0
     moments: int = 0
+    processes: int = 0
     others: int = 0
     position: int = 0
+    requests: set[str] = attrs.field(factory=set)
+    left_out: int = 0
     _last_s: float = NEVER_S
 
-    def add(self, at_s: float, position: int, *, is_explained: bool) -> None:
+    def add(
+        self,
+        at_s: float,
+        position: int,
+        processes: int,
+        *,
+        is_explained: bool,
+    ) -> None:
         """Counts a crash.
 
         Args:
           at_s: Monotonic time in seconds.
-          position: Position of the part in a prompt.
+          position: Position of the part in a request.
+          processes: Number of endpoint processes that crashed at that time.
           is_explained: Whether a part in quarantine was present as well.
         """
         self.position = max(self.position, position)
         self.moments += 1
+        self.processes += processes
         if at_s - self._last_s < MIN_CRASH_INTERVAL_S:
             return
         self._last_s = at_s
@@ -79,6 +98,8 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, Crash] = OrderedDict()
         self._last_crashes_s: OrderedDict[str, float] = OrderedDict()
+        # Heads of the requests among these parts.
+        self._heads = RequestHeads()
         self._successes: OrderedDict[str, float] = OrderedDict()
         # Successes by node since the last crash with a part.
         self._success_counts: dict[str, dict[str, int]] = {}
@@ -89,6 +110,11 @@
         """Remembered crashes, in the order in which they became known."""
         return self._crashes.values()
 
+    @property
+    def heads(self) -> RequestHeads:
+        """Heads of the requests that were present at crashes."""
+        return self._heads
+
     def add_crash(
         self, process: str, parts: Mapping[str, int], at_s: float
     ) -> bool:
@@ -96,7 +122,7 @@
 
         Args:
           process: Endpoint process.
-          parts: Shared prompt parts that were present, with their positions.
+          parts: Parts of requests that were present, with their positions.
           at_s: Monotonic time of the crash, in seconds.
 
         Returns:
@@ -119,6 +145,8 @@
         return is_new
 
     def _record_last_crash(self, part: str, at_s: float) -> None:
+        if part not in self._last_crashes_s:
+            self._heads.add(part)
         if at_s > self._last_crashes_s.get(part, NEVER_S):
             self._last_crashes_s[part] = at_s
             self._success_counts.pop(part, None)
@@ -126,6 +154,7 @@
         if len(self._last_crashes_s) > MAX_CRASHED_PARTS:
             forgotten, _ = self._last_crashes_s.popitem(last=False)
             self._success_counts.pop(forgotten, None)
+            self._heads.remove(forgotten)
 
     def add_success(
         self,
@@ -231,19 +260,34 @@
         moments_s: list[float] = []
         for group in group_crashes(self.recent_crashes(now_s)):
             moments_s.append(group.at_s)
-            is_explained = group.has_any(quarantined)
+            requests = {
+                part
+                for part in group.requests()
+                if part in quarantined or part in self._cleared
+            }
             for part in group.common_parts():
                 if group.at_s <= self.sound_until_s(part):
                     continue
                 count = counts.setdefault(part, CrashCount(group.at_s))
+                if is_request(part):
+                    # A common part is present at most crashes by chance.
+                    is_explained = not requests.isdisjoint(quarantined)
+                elif requests.isdisjoint(count.requests):
+                    count.requests |= requests
+                    is_explained = group.has_any(quarantined)
+                else:
+                    count.left_out += 1
+                    continue
                 count.add(
                     group.at_s,
                     group.positions[part],
+                    group.presence[part],
                     is_explained=is_explained,
                 )
         for count in counts.values():
             start = bisect.bisect_left(moments_s, count.first_s)
-            count.others = len(moments_s) - start - count.moments
+            counted = count.moments + count.left_out
+            count.others = len(moments_s) - start - counted
         return counts
 
     def count_shared(
@@ -251,6 +295,8 @@
     ) -> dict[str, int]:
         """Returns the quarantined parts that are the only one at no crash.
 
+        For a request, only other requests count: a shared part says less.
+
         Args:
           now_s: Monotonic time in seconds.
           quarantined: Parts in quarantine.
@@ -266,7 +312,10 @@
                 for part in group.common_parts()
                 if part in quarantined and group.at_s > self.sound_until_s(part)
             ]
-            if len(present) == 1:
+            requests = [part for part in present if is_request(part)]
+            if len(requests) == 1:
+                sole.add(requests[0])
+            elif len(present) == 1:
                 sole.add(present[0])
             for part in present:
                 counts[part] = counts.get(part, 0) + 1
--- a/packages/guavalane-core/src/guavalane_core/quarantine/parts.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/parts.py
@@ -5,6 +5,7 @@
 import functools
 import hashlib
 import secrets
+from collections import Counter
 from collections.abc import Iterable
 
 from guavalane_core.forwarding.request import CallerRequest
@@ -30,11 +31,37 @@
     return part_id.startswith(REQUEST_PREFIX)
 
 
-def head_of(digest: str) -> str:
-    """Returns the part of a request's digest that stands for its head."""
+def _head_of(digest: str) -> str:
     return digest.removeprefix(REQUEST_PREFIX)[: 2 * DIGEST_BYTES]
 
 
+class RequestHeads:
+    """Heads of a set of requests, given as the parts that include them."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+
+    def __bool__(self) -> bool:
+        return bool(self._counts)
+
+    def __contains__(self, head: str) -> bool:
+        return head in self._counts
+
+    def add(self, part_id: str) -> None:
+        """Adds a part, which is ignored unless it is a request."""
+        if is_request(part_id):
+            self._counts[_head_of(part_id)] += 1
+
+    def remove(self, part_id: str) -> None:
+        """Removes a part that was added."""
+        if not is_request(part_id):
+            return
+        head = _head_of(part_id)
+        self._counts[head] -= 1
+        if not self._counts[head]:
+            del self._counts[head]
+
+
 class RequestParts:
     """Parts of a request, from the most common one to the request itself.
 
--- a/packages/guavalane-core/src/guavalane_core/quarantine/table.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/table.py
@@ -1,4 +1,4 @@
-"""Prompt parts in quarantine, as known to one node."""
+"""Parts of requests in quarantine, as known to one node."""
 
 from __future__ import annotations
 
@@ -7,8 +7,12 @@
 
 import attrs
 
-from guavalane_core.forwarding.request import Prompt
 from guavalane_core.quarantine.evidence import CrashCount, CrashEvidence
+from guavalane_core.quarantine.parts import (
+    RequestHeads,
+    RequestParts,
+    is_request,
+)
 
 # Separate crashes without a success in between after which a part is
 # quarantined.
@@ -19,11 +23,16 @@
 CRASHES_IF_MOSTLY_ABSENT = 6
 # Number of crashes that suffices if they follow each other more quickly.
 QUICK_CRASHES_TO_QUARANTINE = 5
+# Times of crashes at which a request was present, without a success in between,
+# after which it is quarantined. Other crashes do not matter: unlike a shared
+# part, one request is seldom present at a crash by chance.
+REQUEST_CRASHES_TO_QUARANTINE = 3
 # Minimum share of the crashes of the time at which a part has to be present.
 MIN_PRESENCE = 0.15
 # Successes since the last crash that end a quarantine without a trial.
 SUCCESSES_TO_RELEASE = 3
 # Crashes from which on a part is a suspect: its requests are not repeated.
+# Crashes of a request count also if they follow each other at once.
 CRASHES_TO_SUSPECT = 2
 # Delay before each trial of a quarantined part, in seconds; the last one
 # applies to all further trials. A trial may cost an endpoint.
@@ -34,7 +43,7 @@
 
 @attrs.frozen
 class Quarantine:
-    """Prompt part that crashed endpoints and is not sent to any for now.
+    """Part of requests that crashed endpoints and is not sent to any for now.
 
     Attributes:
       part_id: Identifier of the part.
@@ -74,6 +83,7 @@
         self._quarantines: dict[str, Quarantine] = {}
         # Monotonic start of each quarantine, in seconds.
         self._since_s: dict[str, float] = {}
+        self._heads = RequestHeads()
         self._suspects: set[str] = set()
 
     @property
@@ -86,18 +96,34 @@
         """Quarantines by part."""
         return self._quarantines
 
-    def find(self, prompt: Prompt | None) -> Quarantine | None:
-        """Returns the quarantine that applies to a prompt, if any."""
-        if prompt is None or not self._quarantines:
+    def known_parts(self, parts: RequestParts) -> tuple[str, ...]:
+        """Returns the parts of a request of which anything may be known.
+
+        The digest of a body is computed only if a request with the same head
+        was present at a crash or is in quarantine.
+        """
+        known = (self._evidence.heads, self._heads)
+        is_known = any(heads and parts.head in heads for heads in known)
+        return parts.all if is_known else parts.shared
+
+    def find(self, parts: RequestParts) -> Quarantine | None:
+        """Returns the quarantine that applies to a request, if any."""
+        if not self._quarantines:
             return None
-        for part_id in prompt.shared_parts:
+        for part_id in self.known_parts(parts):
             if part_id in self._quarantines:
                 return self._quarantines[part_id]
         return None
 
-    def is_suspect(self, prompt: Prompt | None) -> bool:
-        """Returns whether a prompt contains a suspect or quarantined part."""
-        return prompt is not None and self.has_suspect(prompt.shared_parts)
+    def is_suspect(self, parts: RequestParts) -> bool:
+        """Returns whether a request has a suspect or quarantined part."""
+        if not self._suspects and not self._quarantines:
+            return False
+        return self.has_suspect(self.known_parts(parts))
+
+    def has_open_crash(self, parts: RequestParts) -> bool:
+        """Returns whether a crash counts against a part of a request."""
+        return any(map(self._evidence.has_open_crash, self.known_parts(parts)))
 
     def has_suspect(self, parts: Collection[str]) -> bool:
         """Returns whether one of the parts is a suspect or quarantined."""
@@ -122,17 +148,22 @@
             first_trial_ms = now_ms + int(TRIAL_DELAYS_S[0] * MS_PER_S)
             crashes = counts[part].separate
             quarantine = Quarantine(part, now_ms, crashes, 0, first_trial_ms)
-            self._quarantines[part] = quarantine
-            self._since_s[part] = now_s
+            self._add(quarantine, now_s)
             added.append(quarantine)
             counts = self._evidence.count_crashes(now_s, self._quarantines)
         self._suspects = {
             part
             for part, count in counts.items()
-            if count.unexplained and count.separate >= CRASHES_TO_SUSPECT
+            if count.unexplained and _is_suspect(part, count)
         }
         return added
 
+    def _add(self, quarantine: Quarantine, since_s: float) -> None:
+        part = quarantine.part_id
+        self._quarantines[part] = quarantine
+        self._since_s[part] = since_s
+        self._heads.add(part)
+
     def release_superseded(self, now_s: float) -> list[Quarantine]:
         """Ends the quarantines of parts that another one explains.
 
@@ -146,7 +177,7 @@
             shared = self._evidence.count_shared(now_s, self._quarantines)
             if not shared:
                 return released
-            part = min(shared, key=lambda part: (shared[part], part))
+            part = min(shared, key=lambda p: (is_request(p), shared[p], p))
             released.append(self._quarantines[part])
             self.release(part, now_s)
 
@@ -172,8 +203,7 @@
             return False
         if len(self._quarantines) >= MAX_QUARANTINES:
             return False
-        self._quarantines[part] = quarantine
-        self._since_s[part] = since_s
+        self._add(quarantine, since_s)
         return True
 
     def on_success(
@@ -225,29 +255,41 @@
         """
         self._evidence.clear_part(part, at_s)
         self._since_s.pop(part, None)
-        return self._quarantines.pop(part, None)
+        ended = self._quarantines.pop(part, None)
+        if ended is not None:
+            self._heads.remove(part)
+        return ended
+
+
+def _is_suspect(part: str, count: CrashCount) -> bool:
+    """Returns whether the crashes against a part make it a suspect."""
+    crashes = count.processes if is_request(part) else count.separate
+    return crashes >= CRASHES_TO_SUSPECT
 
 
 def _choose_cause(counts: Mapping[str, CrashCount]) -> str | None:
     """Returns the next part to quarantine, if any.
 
-    It is the part that explains the most crashes. Parts that occur in the same
-    prompts are equally suspect. The one at the last position belongs to the
-    fewest prompts. If it is the wrong one, the first crash without it decides,
-    as the earlier ones still count.
+    A single request comes first, as its quarantine affects no other one. Of the
+    shared parts it is the one that explains the most crashes. Parts that occur
+    in the same prompts are equally suspect. The one at the last position
+    belongs to the fewest prompts. If it is the wrong one, the first crash
+    without it decides, as the earlier ones still count.
     """
     due = [
-        (count.moments, count.position, part)
+        (is_request(part), count.moments, count.position, part)
         for part, count in counts.items()
-        if _is_due(count)
+        if _is_due(part, count)
     ]
-    return max(due)[2] if due else None
+    return max(due)[3] if due else None
 
 
-def _is_due(count: CrashCount) -> bool:
+def _is_due(part: str, count: CrashCount) -> bool:
     """Returns whether the crashes against a part suffice for a quarantine."""
     if not count.unexplained:
         return False
+    if is_request(part):
+        return count.moments >= REQUEST_CRASHES_TO_QUARANTINE
     if count.moments < MIN_PRESENCE * (count.moments + count.others):
         return False
     if count.moments >= QUICK_CRASHES_TO_QUARANTINE > count.others:
--- a/packages/guavalane-core/tests/quarantine/test_crash_simulation.py
+++ b/packages/guavalane-core/tests/quarantine/test_crash_simulation.py
@@ -45,6 +45,20 @@
         assert rejected_share(results) <= MAX_REJECTED
 
 
+class TestCrashingRequest:
+    """Guards against a request that comes again and crashes endpoints."""
+
+    @pytest.mark.parametrize("waves", [0, 4])
+    @pytest.mark.parametrize("onsets", [1, 2])
+    def test_few_requests_are_late_and_few_sound_ones_rejected(
+        self, onsets, waves
+    ):
+        results = run_all(onsets=onsets, waves=waves, is_request=True)
+        late = [result.late_requests for result in results]
+        assert max(late) <= MAX_LATE_REQUESTS * onsets
+        assert rejected_share(results) <= MAX_REJECTED
+
+
 class TestSoundParts:
     """Guards against parts blamed for crashes that have another cause."""
 
--- a/packages/guavalane-core/tests/quarantine/test_parts.py
+++ b/packages/guavalane-core/tests/quarantine/test_parts.py
@@ -7,7 +7,7 @@
 from guavalane_core.quarantine import RequestParts
 from guavalane_core.quarantine.parts import (
     DIGEST_LENGTH,
-    head_of,
+    RequestHeads,
     is_request,
 )
 from guavalane_standins.forwarding_samples import (
@@ -57,9 +57,33 @@
         parts = RequestParts(KEY, request)
         assert parts.all == (*prompt.shared_parts, parts.digest)
         assert is_request(parts.digest)
-        assert head_of(parts.digest) == parts.head
+        assert parts.head in parts.digest
         assert len(parts.digest) == DIGEST_LENGTH
 
     def test_neither_body_nor_caller_is_readable(self):
         text = digest(caller="secret-org", body=b"secret-body")
         assert "secret" not in text
+
+
+class TestRequestHeads:
+    """Guards against digests that are computed for every body, or for none."""
+
+    def test_requests_with_the_same_head_are_counted(self):
+        heads = RequestHeads()
+        requests = [
+            RequestParts(KEY, make_caller_request(body=body))
+            for body in (b"1", b"2")
+        ]
+        assert not heads
+        for request in requests:
+            heads.add(request.digest)
+        heads.remove(requests[0].digest)
+        assert requests[0].head in heads
+        heads.remove(requests[1].digest)
+        assert not heads
+
+    def test_prompt_parts_are_ignored(self):
+        heads = RequestHeads()
+        heads.add("common")
+        heads.remove("common")
+        assert not heads
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -7,7 +7,7 @@
 from guavalane_core.quarantine import CrashEvidence, QuarantineTable
 from guavalane_core.quarantine.evidence import MAX_CRASHES, MAX_SUCCESSES
 from guavalane_core.quarantine.table import MAX_QUARANTINES, TRIAL_DELAYS_S
-from guavalane_standins.forwarding_samples import make_prompt
+from guavalane_standins.forwarding_samples import make_parts
 
 WALL_MS = 1_700_000_000_000
 DAY_MS = 86_400_000
@@ -117,11 +117,11 @@
         table.on_success("common", 0.0)
         add_crashes(table, [4.0, 5.0])
         assert update(table, 5.0) == []
-        assert table.is_suspect(make_prompt(context="crashing"))
+        assert table.is_suspect(make_parts("crashing"))
         add_crashes(table, [6.0])
         assert update(table, 6.0) == ["crashing"]
-        assert table.find(make_prompt(context="crashing")).crashes == 3
-        assert table.find(make_prompt(context="sound")) is None
+        assert table.find(make_parts("crashing")).crashes == 3
+        assert table.find(make_parts("sound")) is None
 
     def test_quick_crashes_start_a_quarantine(self):
         """Guards against a burst that counts as few crashes for seconds."""
@@ -188,7 +188,7 @@
         table = QuarantineTable()
         add_crashes(table, [4.0, 5.0, 6.0], ["thing-1-own"])
         update(table, 6.0)
-        assert table.find(make_prompt(context="thing-1")) is None
+        assert table.find(make_parts("thing-1")) is None
 
     def test_a_part_that_is_served_is_no_suspect(self):
         """Guards against sound requests that are not repeated."""
@@ -197,7 +197,7 @@
         update(table, 5.0)
         for part in ("common", "crashing"):
             table.on_success(part, 6.0)
-        assert not table.is_suspect(make_prompt(context="crashing"))
+        assert not table.is_suspect(make_parts("crashing"))
 
     def test_the_number_of_quarantines_is_bounded(self):
         table = QuarantineTable()
@@ -282,3 +282,79 @@
         for start_ms in begun_ms:
             window = [t for t in begun_ms if 0 <= t - start_ms < DAY_MS]
             assert len(window) <= 3
+
+
+class TestRequests:
+    """Guards against a shared part blamed for one request, and the reverse."""
+
+    def add(self, table, times_s, body=b"crashing", parts=("common",)):
+        """Adds one crash per time with a request, and returns its digest."""
+        digest = make_parts(body=body).digest
+        add_crashes(table, times_s, (*parts, digest))
+        return digest
+
+    def test_three_crashes_that_fit_both_blame_the_request(self):
+        table = QuarantineTable()
+        digest = self.add(table, [4.0, 5.0, 6.0])
+        assert update(table, 6.0) == [digest]
+        assert table.find(make_parts(body=b"crashing")).part_id == digest
+        assert table.find(make_parts(body=b"sound")) is None
+
+    def test_a_request_comes_before_a_part_at_more_crashes(self):
+        """Guards against a part blamed for one more crash beside it."""
+        table = QuarantineTable()
+        self.add(table, [3.0], b"beside")
+        digest = self.add(table, [4.0, 5.0, 6.0])
+        assert update(table, 6.0) == [digest]
+        assert update(table, 7.0) == []
+
+    def test_crashes_of_a_request_count_once_against_its_parts(self):
+        table = QuarantineTable()
+        digest = self.add(table, [4.0, 5.0, 6.0, 7.0])
+        assert update(table, 7.0) == [digest]
+        self.add(table, [8.0], b"second")
+        assert update(table, 8.0) == []
+        self.add(table, [9.0], b"third")
+        assert update(table, 9.0) == ["common"]
+
+    def test_different_requests_with_a_part_blame_the_part(self):
+        table = QuarantineTable()
+        for at_s in (4.0, 5.0, 6.0):
+            self.add(table, [at_s], f"request {at_s}".encode())
+        assert update(table, 6.0) == ["common"]
+
+    def test_quick_crashes_of_a_request_make_it_a_suspect(self):
+        """Guards against a request that is repeated at once after a crash."""
+        table = QuarantineTable()
+        self.add(table, [4.0, 4.05])
+        update(table, 4.1)
+        assert table.is_suspect(make_parts(body=b"crashing"))
+        assert not table.quarantines
+
+    def test_the_loss_of_a_zone_quarantines_no_request(self):
+        table = QuarantineTable()
+        self.add(table, [4.0 + number / 1000 for number in range(40)])
+        assert update(table, 5.0) == []
+
+    def test_crashes_for_other_reasons_do_not_hide_a_request(self):
+        table = QuarantineTable()
+        for number in range(12):
+            add_crashes(table, [2.0 + number / 2], [f"other-{number}"])
+        digest = self.add(table, [4.2, 5.2, 6.2])
+        assert update(table, 8.0) == [digest]
+
+    def test_a_request_that_is_served_in_between_is_sound(self):
+        table = QuarantineTable()
+        digest = self.add(table, [4.0, 5.0])
+        for part in ("common", digest):
+            table.on_success(part, 5.5)
+        self.add(table, [6.0, 7.0])
+        assert update(table, 7.0) == []
+
+    def test_a_released_request_is_served_again(self):
+        table = QuarantineTable()
+        digest = self.add(table, [4.0, 5.0, 6.0])
+        update(table, 6.0)
+        table.release(digest, 7.0)
+        assert table.find(make_parts(body=b"crashing")) is None
+        assert update(table, 8.0) == []
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -36,7 +36,7 @@
 MAX_ALLOTMENT_RETRY_S = 5.0
 # Longest Retry-After for limited endpoints, in seconds.
 MAX_LIMIT_RETRY_S = 5.0
-# Shortest Retry-After for a quarantined prompt part, in seconds.
+# Shortest Retry-After for a quarantined part, in seconds.
 MIN_QUARANTINE_RETRY_S = 5.0
 MS_PER_S = 1000
 # Jitter of Retry-After as a fraction, so that callers do not retry in step.
@@ -54,7 +54,7 @@
       units: Units that it draws from the allotment.
       version: Version of the configuration that was applied.
       parts: What the request has in common with others.
-      is_trial: Whether it tries a quarantined prompt part on purpose.
+      is_trial: Whether it tries a quarantined part on purpose.
     """
 
     route: Route
@@ -87,7 +87,7 @@
 def make_quarantined_error(
     view: NodeView, quarantine: Quarantine
 ) -> QuarantinedError:
-    """Returns the rejection of a request with a quarantined prompt part."""
+    """Returns the rejection of a request with a quarantined part."""
     left_s = quarantine.next_trial_ms / MS_PER_S - view.clock.now()
     return QuarantinedError(
         quarantine,
@@ -130,7 +130,7 @@
     Args:
       view: Shared state of the node.
       request: Request.
-      is_trial: Whether it may contain a quarantined prompt part.
+      is_trial: Whether it may have a quarantined part.
 
     Raises:
       RefusalError: The request is rejected.
@@ -156,7 +156,7 @@
         )
     caller = "" if organisation is None else organisation.name
     parts = RequestParts(view.digest_key, request, caller)
-    quarantine = view.quarantines.find(request.prompt)
+    quarantine = view.quarantines.find(parts)
     if quarantine is not None and not is_trial:
         raise make_quarantined_error(view, quarantine)
     units = 0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/crash_monitor.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/crash_monitor.py
@@ -25,6 +25,7 @@
     """Attempts at one endpoint process that broke off together."""
 
     parts: dict[str, int] = attrs.field(factory=dict)
+    checked: asyncio.Event = attrs.field(factory=asyncio.Event)
     failures: list[Callable[[], None]] = attrs.field(factory=list)
 
 
@@ -74,10 +75,10 @@
 
         Args:
           endpoint: Endpoint.
-          parts: Shared prompt parts of the request, in order, if the endpoint
-              was about to answer it; empty if it had sent output for a while.
+          parts: Parts of the request, in order, if the endpoint was about to
+              answer it; empty if it had sent output for a while.
           count_failure: Counts the failure against the endpoint's version. It
-              is not called if a prompt part is suspected of the crash.
+              is not called if a part is suspected of the crash.
           has_head: Whether the head of the response has arrived. The number of
               parts that are kept is limited, and those come first.
         """
@@ -95,12 +96,20 @@
             broken.parts |= added
         broken.failures.append(count_failure)
 
+    async def wait_checked(self, endpoint: Endpoint) -> None:
+        """Waits until it is known whether an endpoint has crashed."""
+        broken = self._broken.get(endpoint.process)
+        if broken is not None:
+            await broken.checked.wait()
+
     async def _check(self, endpoint: Endpoint) -> None:
         has_crashed = False
         try:
             has_crashed = await self._has_crashed(endpoint)
         finally:
             broken = self._broken.pop(endpoint.process)
+            # Those that wait go on after the crash is recorded below.
+            broken.checked.set()
         is_suspected = False
         if has_crashed:
             self._log.event(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -8,6 +8,7 @@
 
 from guavalane_core.exceptions import RequestError
 from guavalane_core.quarantine import Quarantine
+from guavalane_core.quarantine.parts import is_request
 
 
 class RefusalError(RequestError):
@@ -81,20 +82,23 @@
 
 
 class QuarantinedError(RefusalError):
-    """The prompt has a part that crashes endpoints.
+    """The request, or a part of its prompt, crashes endpoints.
 
     Attributes:
-      quarantine: Quarantine of that part.
+      code: `request_quarantined` or `prompt_quarantined`.
+      quarantine: Quarantine of the request or of the part.
     """
 
-    code = "prompt_quarantined"
-
     def __init__(self, quarantine: Quarantine, retry_after_s: float) -> None:
+        part = quarantine.part_id
+        is_whole = is_request(part)
         super().__init__(
-            f"prompt part {quarantine.part_id} crashed endpoints"
-            f" {quarantine.crashes} times without a success in between",
+            f"{'this request' if is_whole else f'prompt part {part}'} crashed"
+            f" endpoints {quarantine.crashes} times without a success in"
+            " between",
             retry_after_s,
         )
+        self.code = f"{'request' if is_whole else 'prompt'}_quarantined"
         self.quarantine = quarantine
 
     @property
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -148,12 +148,11 @@
         broken off, when it is too late to keep it.
         """
         view = self._view
-        prompt = self._request.prompt
         budget = view.retries(self._admitted.service.name)
         if (
             self._progress.runs + 1 >= self._admitted.route.max_endpoints
             or self._find_quarantine() is not None
-            or view.quarantines.is_suspect(prompt)
+            or view.quarantines.is_suspect(self._admitted.parts)
             or not budget.may_spend(self._now(), view.sharing_nodes)
             or not self._can_end_before_stop()
             or self._next_candidate() is None
@@ -197,15 +196,25 @@
             self._progress.last_outcome = outcome.value
             if outcome is AttemptOutcome.ANSWERED:
                 return outcome
+            if outcome is AttemptOutcome.BROKEN:
+                await self._wait_for_suspicion(endpoint)
             if self._decide(outcome, endpoint) is not Decision.TRY_ANOTHER:
                 return outcome
         return outcome
 
+    async def _wait_for_suspicion(self, endpoint: Endpoint) -> None:
+        """Waits until a second crash under the request would be known.
+
+        A request that has crashed two endpoints is not repeated at a third.
+        """
+        if self._view.quarantines.has_open_crash(self._admitted.parts):
+            await self._components.crash_monitor.wait_checked(endpoint)
+
     def _find_quarantine(self) -> Quarantine | None:
         """Returns the quarantine that forbids the next attempt, if any."""
         if self._admitted.is_trial:
             return None
-        return self._view.quarantines.find(self._request.prompt)
+        return self._view.quarantines.find(self._admitted.parts)
 
     def _next_candidate(self) -> Candidate | None:
         return select_endpoint(
@@ -223,7 +232,7 @@
         decision = decide_next(
             outcome,
             repeatable=self._admitted.route.repeatable
-            and not view.quarantines.is_suspect(self._request.prompt),
+            and not view.quarantines.is_suspect(self._admitted.parts),
             possibly_run=self._progress.possibly_run,
             runs_left=self._progress.runs < self._admitted.route.max_endpoints,
             retry_budget_left=budget.may_spend(now_s, view.sharing_nodes),
@@ -329,7 +338,7 @@
         is_served = outcome is AttemptOutcome.ANSWERED and status < CLIENT_ERROR
         if is_served and progress.output_s is not None:
             self._components.quarantine.on_served(
-                request.prompt, progress.output_s
+                self._admitted.parts, progress.output_s
             )
         return outcome
 
@@ -337,17 +346,22 @@
         self, endpoint: Endpoint, sample: AttemptSample
     ) -> None:
         ended_s = self._now()
-        prompt = self._request.prompt
-        if prompt is None:
-            sample.finish(ended_s, failed=True)
-            return
         self._components.crash_monitor.on_broken(
             endpoint,
-            () if self._progress.served else prompt.shared_parts,
+            () if self._was_served() else self._admitted.parts.all,
             lambda: sample.finish(ended_s, failed=True),
             has_head=self._progress.last_status is not None,
         )
 
+    def _was_served(self) -> bool:
+        """Returns whether the endpoint of the attempt has stood the request.
+
+        The response of a plain service begins when the request has run.
+        """
+        progress = self._progress
+        has_output = progress.output_s is not None
+        return progress.served or (has_output and not self._admitted.is_stream)
+
     def _prefill_tokens(self, candidate: Candidate, now_s: float) -> int:
         prompt = self._request.prompt
         if prompt is None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/quarantine.py
@@ -1,13 +1,13 @@
-"""Quarantine of prompt parts that crash endpoints, over all nodes."""
+"""Quarantine of parts of requests that crash endpoints, over all nodes."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
 
-from guavalane_core.forwarding import Endpoint, Prompt
+from guavalane_core.forwarding import Endpoint
 from guavalane_core.messages import QuarantineReport, encode
 from guavalane_core.objects import ObjectApi
-from guavalane_core.quarantine import Quarantine
+from guavalane_core.quarantine import Quarantine, RequestParts
 from guavalane_core.quarantine.evidence import NEVER_S
 from guavalane_core.timers import Subscription, Timers
 from guavalane_entry.gateway.decision_log import DecisionLog
@@ -110,7 +110,7 @@
 
         Args:
           endpoint: Endpoint.
-          parts: Shared prompt parts that were present, with their positions.
+          parts: Parts of requests that were present, with their positions.
         """
         now_s = self._timers.now()
         if self._table.evidence.add_crash(endpoint.process, parts, now_s):
@@ -119,21 +119,19 @@
             self._report_timer.send_within(REPORT_DELAY_S)
 
     def is_explained(self, endpoint: Endpoint) -> bool:
-        """Returns whether a prompt part is suspected of an endpoint's crash."""
+        """Returns whether a part is suspected of an endpoint's crash."""
         parts = self._table.evidence.parts_at(endpoint.process)
         return self._table.has_suspect(parts)
 
-    def on_served(self, prompt: Prompt | None, began_s: float) -> None:
-        """Records that an endpoint has served a prompt without crashing.
+    def on_served(self, parts: RequestParts, began_s: float) -> None:
+        """Records that an endpoint has served a request without crashing.
 
         Args:
-          prompt: Prompt; None for requests without one.
+          parts: Parts of the request.
           began_s: Monotonic time at which the output began, in seconds.
         """
-        if prompt is None:
-            return
         evidence = self._table.evidence
-        for part_id in prompt.shared_parts:
+        for part_id in self._table.known_parts(parts):
             had_open_crash = evidence.has_open_crash(part_id)
             ended = self._table.on_success(part_id, began_s, self._name)
             if ended is not None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -222,7 +222,7 @@
         if is_served and not progress.served:
             progress.served = True
             self._components.quarantine.on_served(
-                self._request.prompt, progress.output_s
+                self._admitted.parts, progress.output_s
             )
 
     def _record_event_times(self, now_s: float, gap_s: float) -> None:
--- a/packages/guavalane-entry/tests/gateway/test_crashing_prompts.py
+++ b/packages/guavalane-entry/tests/gateway/test_crashing_prompts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -14,6 +15,8 @@
 )
 from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
 
+# Numbers of requests, so that no two are the same.
+NUMBERS = itertools.count()
 ENGINE = Engine(slots=4, kv_tokens=100_000)
 # Crashes closer together count as one, in seconds.
 CRASH_INTERVAL_S = 0.55
@@ -86,8 +89,10 @@
 
 
 async def call(rig, context):
-    """Sends a request and returns its status, or None if it broke off."""
-    async with rig.call(headers=prompt_headers(context)) as answer:
+    """Sends a new request and returns its status, or None if it broke off."""
+    body = f"request {next(NUMBERS)}".encode()
+    headers = prompt_headers(context)
+    async with rig.call(headers=headers, body=body) as answer:
         await answer.read()
         return answer.status
 
--- a/packages/guavalane-entry/tests/gateway/test_quarantine.py
+++ b/packages/guavalane-entry/tests/gateway/test_quarantine.py
@@ -18,7 +18,7 @@
     QUARANTINE_KIND,
 )
 from guavalane_entry.gateway.view import NodeView
-from guavalane_standins.forwarding_samples import make_endpoint, make_prompt
+from guavalane_standins.forwarding_samples import make_endpoint, make_parts
 from guavalane_standins.gateway_rig import make_settings
 
 # The operators allow three requests later than this after the third crash, in
@@ -29,7 +29,8 @@
 # Time in which a crash is detected, in seconds.
 DETECTION_S = 0.01
 DELIVERY_S = 0.002
-CRASHING = make_prompt(context="crashing")
+CRASHING = make_parts("crashing")
+PLAIN = make_parts(body=b"crashing")
 
 
 class Fleet:
@@ -41,6 +42,7 @@
       nodes: Quarantine services by node name.
       cut: Names of nodes that hear nobody and are heard by nobody.
       crashes_s: Times of the crashes.
+      crashing: Request that crashes endpoints.
 
     Args:
       size: Number of nodes.
@@ -48,12 +50,13 @@
       loss: Fraction of datagrams that are lost.
     """
 
-    def __init__(self, size, seed=1, loss=0.0):
+    def __init__(self, size, seed=1, loss=0.0, crashing=CRASHING):
         self.timers = ManualTimers()
         self.api = MemoryObjectApi()
         self.nodes = {}
         self.cut = set()
         self.crashes_s = []
+        self.crashing = crashing
         self._rng = random.Random(seed)
         self._loss = loss
         self._names = [f"n{number}" for number in range(size)]
@@ -103,21 +106,26 @@
         parts = {
             part: position
             for prompt in prompts
-            for position, part in enumerate(prompt.shared_parts)
+            for position, part in enumerate(prompt.shared or prompt.all)
         }
         self.timers.call_later(
             DETECTION_S,
             lambda: self.nodes[name].on_crash(endpoint, parts),
         )
 
-    def request(self, prompt=CRASHING):
-        """Sends a request to a random node; returns whether it is forwarded."""
+    def request(self, prompt=None):
+        """Sends a request to a random node; returns whether it is forwarded.
+
+        Args:
+          prompt: Request; the crashing one by default.
+        """
+        prompt = prompt or self.crashing
         name = self._rng.choice(self._names)
         node = self.nodes[name]
         quarantine = node.view.quarantines.find(prompt)
         if quarantine is not None and not node.take_trial(quarantine):
             return False
-        if prompt is CRASHING:
+        if prompt is self.crashing:
             self.crash(name, prompt)
         else:
             node.on_served(prompt, self.timers.now())
@@ -224,10 +232,13 @@
     @pytest.mark.parametrize("size", [2, 8, 74])
     @pytest.mark.parametrize("rate_per_s", [0.5, 2.0, 10.0])
     @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize(
+        "crashing", [CRASHING, PLAIN], ids=["prompt", "plain"]
+    )
     async def test_few_requests_are_forwarded_after_three_crashes(
-        self, size, rate_per_s, seed
+        self, size, rate_per_s, seed, crashing
     ):
-        fleet = Fleet(size, seed, loss=0.05)
+        fleet = Fleet(size, seed, loss=0.05, crashing=crashing)
         forwarded_s = await fleet.play(20.0, rate_per_s)
         assert len(fleet.late(forwarded_s)) <= MAX_LATE_REQUESTS
 
@@ -245,9 +256,12 @@
         forwarded_s = await fleet.play(20.0, rate_per_s)
         assert len(fleet.late(forwarded_s)) <= MAX_LATE_REQUESTS
 
-    async def test_a_burst_of_crashes_is_followed_by_few(self):
+    @pytest.mark.parametrize(
+        "crashing", [CRASHING, PLAIN], ids=["prompt", "plain"]
+    )
+    async def test_a_burst_of_crashes_is_followed_by_few(self, crashing):
         """Guards against crashes at the same time that count once."""
-        fleet = Fleet(8)
+        fleet = Fleet(8, crashing=crashing)
         for _ in range(FREE_CRASHES):
             fleet.request()
         await fleet.timers.run_for(CONTACT_S)
@@ -295,7 +309,7 @@
     async def test_a_part_that_other_nodes_serve_is_not_quarantined(self, size):
         fleet = Fleet(size)
         for round_number in range(40):
-            prompt = make_prompt(context=f"other-{round_number}")
+            prompt = make_parts(f"other-{round_number}")
             fleet.request(prompt)
             fleet.request()
             await fleet.timers.run_for(0.6)
@@ -305,7 +319,7 @@
     async def test_few_nodes_tell_of_the_same_success(self):
         """Guards against a burst of reports in a large fleet."""
         fleet = Fleet(74)
-        sound = make_prompt(context="sound")
+        sound = make_parts("sound")
         sent = []
         for name, node in fleet.nodes.items():
             node._send = functools.partial(
@@ -326,7 +340,7 @@
 
     async def test_the_loss_of_a_zone_quarantines_nothing(self):
         fleet = Fleet(8)
-        rare = make_prompt(context="rare")
+        rare = make_parts("rare")
         for number in range(100):
             fleet.crash(f"n{number % 8}", rare)
         await fleet.timers.run_for(5.0)
--- a/packages/guavalane-entry/tests/gateway/test_truncated_heads.py
+++ b/packages/guavalane-entry/tests/gateway/test_truncated_heads.py
@@ -158,7 +158,9 @@
                 statuses.append(await call(rig, f"{endpoint.cut}-b"))
             assert set(statuses[0::2]) == {200}
             assert set(statuses[1::2]) == {502}
-            assert scripted.connections == len(statuses) / 2
+            # Further connections only check whether the endpoint has crashed.
+            used = {request.connection for request in scripted.requests}
+            assert len(used) == len(statuses) / 2
 
 
 @pytest.mark.usefixtures("parser")
--- a/packages/guavalane-standins/src/guavalane_standins/crash_simulation.py
+++ b/packages/guavalane-standins/src/guavalane_standins/crash_simulation.py
@@ -1,8 +1,9 @@
-"""Simulation of prompt parts that crash endpoints, for tests and benches.
+"""Simulation of requests that crash endpoints, for tests and benches.
 
-Requests of a few routes run on endpoints of one service. A part crashes each
-endpoint that begins to answer it, from its onset on; endpoints also crash for
-other reasons. The production `QuarantineTable` gets the evidence and decides.
+Requests of a few routes run on endpoints of one service. A prompt part, or one
+request that comes again, crashes each endpoint that begins to answer it, from
+its onset on; endpoints also crash for other reasons. The production
+`QuarantineTable` gets the evidence and decides.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import attrs
 
 from guavalane_core.quarantine import QuarantineTable
+from guavalane_core.quarantine.parts import REQUEST_PREFIX, is_request
 
 # Time in which all nodes know of a crash and have evaluated it, in seconds.
 REPORT_DELAY_S = 0.15
@@ -36,24 +38,27 @@
 
 @attrs.frozen
 class Onset:
-    """A part that turns out to crash endpoints.
+    """A part, or a request, that turns out to crash endpoints.
 
     Attributes:
       at_s: Time from which on it does, in seconds.
-      share: Share of the requests of its route that contain it.
+      share: Share of the requests of its route that contain it, or that are it.
       route: Index of the route.
       probability: Probability that a request with it crashes its endpoint.
+      is_request: Whether it is one request that comes again.
     """
 
     at_s: float
     share: float
     route: int = 0
     probability: float = 1.0
+    is_request: bool = False
 
     @property
     def part(self) -> str:
         """ID of the part."""
-        return f"crashing-{self.route}"
+        prefix = REQUEST_PREFIX if self.is_request else ""
+        return f"{prefix}crashing-{self.route}"
 
 
 @attrs.frozen
@@ -166,11 +171,17 @@
             range(self._scenario.sessions), self._weights
         )
         parts: tuple[str, ...] = (f"root-{route}", f"session-{route}-{session}")
+        digest = f"{REQUEST_PREFIX}{next(self._order)}"
         crashing = None
         for onset in self._scenario.onsets:
             if onset.route == route and self._rng.random() < onset.share:
-                parts = (parts[0], onset.part, *parts[1:])
                 crashing = onset
+                if onset.is_request:
+                    digest = onset.part
+                    parts = (parts[0], f"session-{route}-0")
+                else:
+                    parts = (parts[0], onset.part, *parts[1:])
+        parts = (*parts, digest)
         if crashing is None:
             self._result.requests += 1
         self._forward(_Request(parts, 0, crashing))
@@ -228,7 +239,17 @@
     def _record_served(self, request: _Request) -> None:
         if request in self._running[request.endpoint]:
             for part in request.parts:
-                self._table.on_success(part, request.output_s)
+                if self._is_recorded(part):
+                    self._table.on_success(part, request.output_s)
+
+    def _is_recorded(self, part: str) -> bool:
+        """Returns whether the success of a part is recorded.
+
+        That of a request is only after it was present at a crash.
+        """
+        if not is_request(part):
+            return True
+        return self._table.evidence.last_crash_s(part) is not None
 
     def _crash_many(self) -> None:
         for endpoint, until_s in enumerate(self._down_until_s):
@@ -273,7 +294,12 @@
 
 
 def draw_scenario(
-    seed: int, *, onsets: int = 0, waves: int = 0, probability: float = 1.0
+    seed: int,
+    *,
+    onsets: int = 0,
+    waves: int = 0,
+    probability: float = 1.0,
+    is_request: bool = False,
 ) -> Scenario:
     """Draws a scenario.
 
@@ -285,6 +311,7 @@
           reason.
       probability: Probability that a request with one of the parts crashes its
           endpoint.
+      is_request: Whether they are requests that come again instead.
     """
     rng = random.Random(seed)
     endpoints = rng.choice([6, 9, 18, 47])
@@ -298,6 +325,7 @@
                 10 ** rng.uniform(-2.0, -0.52),
                 route,
                 probability,
+                is_request,
             )
             for route in range(onsets)
         ),
--- a/packages/guavalane-standins/src/guavalane_standins/forwarding_samples.py
+++ b/packages/guavalane-standins/src/guavalane_standins/forwarding_samples.py
@@ -18,6 +18,7 @@
     Service,
     ServiceShare,
 )
+from guavalane_core.quarantine import RequestParts
 
 
 def make_route(**changes: Any) -> Route:
@@ -77,6 +78,18 @@
     return CallerRequest(**{**values, **changes})
 
 
+def make_parts(context: str | None = None, **changes: Any) -> RequestParts:
+    """Returns the parts of a request.
+
+    Args:
+      context: Context part of its prompt; None for a request without one.
+      changes: Fields of the request.
+    """
+    prompt = None if context is None else make_prompt(context=context)
+    request = make_caller_request(prompt=prompt, **changes)
+    return RequestParts(b"shared-by-nodes!", request)
+
+
 def make_configuration(
     *routes: Route,
     organisations: tuple[Organisation, ...] | None = None,
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import os
 import pathlib
@@ -14,6 +15,7 @@
 import aiohttp
 import pytest
 
+from guavalane_entry.gateway.quarantine_store import DIGEST_KEY_NAME
 from guavalane_platform_standins.deployment import (
     ROOT,
     TENANT,
@@ -328,41 +330,62 @@
 
 
 class TestQuarantine:
-    """Guards against a crashing prompt that is forwarded after a restart."""
+    """Guards against what crashes endpoints and is sent after a restart."""
 
-    SOUND = "common:300,sound:300,own:600"
-    CRASHING = "common:300,crashing:300,own:600"
     CRASHES = 3
 
-    async def call(self, deployment, number, parts):
-        """Sends a prompt to one of the nodes and returns the status."""
+    async def call(self, deployment, kind, number, *, crashing):
+        """Sends a request to one of the nodes and returns the status.
+
+        Args:
+          deployment: Deployment.
+          kind: `prompt` for requests that are all different, and of which some
+              have a crashing prompt part; `request` for a crashing request.
+          number: Number of the request.
+          crashing: Whether it crashes endpoints.
+        """
         node = deployment.nodes[number % len(deployment.nodes)]
+        what = "crashing" if crashing else "sound"
+        is_prompt = kind == "prompt"
         try:
             status, _ = await deployment.call(
-                node, "/talk/x", tokens=TOKEN_COUNT, parts=parts
+                node,
+                "/talk/x" if is_prompt else "/once/x",
+                tokens=TOKEN_COUNT if is_prompt else None,
+                parts=f"common:300,{what}:300,own:600" if is_prompt else None,
+                body=f"{what} {number if is_prompt else ''}".encode(),
             )
         except aiohttp.ClientError:
             return None
         return status
 
-    async def test_a_quarantine_outlasts_all_nodes(self):
+    def stored(self, deployment):
+        """Returns the names of the stored quarantines."""
+        names = deployment.store.names("quarantines")
+        return set(names) - {DIGEST_KEY_NAME}
+
+    @pytest.mark.parametrize("kind", ["prompt", "request"])
+    async def test_a_quarantine_outlasts_all_nodes(self, kind):
         async with Deployment(2) as deployment:
+            service = "llm" if kind == "prompt" else "app"
             endpoints = [
-                await deployment.add_endpoint(f"i-{number}", "llm")
+                await deployment.add_endpoint(f"i-{number}", service)
                 for number in range(10)
             ]
             for endpoint in endpoints:
                 endpoint.crashing_part = "crashing"
+                endpoint.crashing_body = b"crashing "
             await asyncio.sleep(0.3)
+            call = functools.partial(self.call, deployment, kind)
             for number in range(4):
-                assert await self.call(deployment, number, self.SOUND) == 200
+                assert await call(number, crashing=False) == 200
             for number in range(self.CRASHES):
-                await self.call(deployment, number, self.CRASHING)
+                await call(number, crashing=True)
                 await asyncio.sleep(0.6)
                 for endpoint in endpoints:
                     if endpoint.crashed:
                         deployment.store.remove("servers", endpoint.endpoint_id)
-            await wait_for(lambda: deployment.store.names("quarantines"), 2.0)
+            await wait_for(lambda: self.stored(deployment), 2.0)
             crashed = sum(endpoint.crashed for endpoint in endpoints)
             for node in deployment.nodes:
                 node.end()
@@ -371,8 +394,8 @@
                 await deployment.wait_ready(node)
             await asyncio.sleep(0.3)
             for number in range(4):
-                assert await self.call(deployment, number, self.CRASHING) == 503
-                assert await self.call(deployment, number, self.SOUND) == 200
+                assert await call(number, crashing=True) == 503
+                assert await call(number, crashing=False) == 200
             assert sum(e.crashed for e in endpoints) == crashed
             for node in deployment.nodes:
                 await wait_for(
