Count crashes of a request that follow each other at once

A request is repeated within milliseconds of its crash, so three crashes at two different times suffice now. The loss of a zone still counts as one time.

Test: test_three_quick_crashes_blame_a_request failed before.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/table.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/table.py
@@ -23,10 +23,12 @@
 CRASHES_IF_MOSTLY_ABSENT = 6
 # Number of crashes that suffices if they follow each other more quickly.
 QUICK_CRASHES_TO_QUARANTINE = 5
-# Times of crashes at which a request was present, without a success in between,
-# after which it is quarantined. Other crashes do not matter: unlike a shared
-# part, one request is seldom present at a crash by chance.
+# Crashes at which a request was present, without a success in between, after
+# which it is quarantined, and least number of their times: a request that many
+# callers send runs at several endpoints when a zone is lost. Crashes without it
+# do not matter: unlike a shared part, it is seldom present by chance.
 REQUEST_CRASHES_TO_QUARANTINE = 3
+MIN_REQUEST_CRASH_TIMES = 2
 # Minimum share of the crashes of the time at which a part has to be present.
 MIN_PRESENCE = 0.15
 # Successes since the last crash that end a quarantine without a trial.
@@ -277,11 +279,11 @@
     without it decides, as the earlier ones still count.
     """
     due = [
-        (is_request(part), count.moments, count.position, part)
+        (is_request(part), count.moments, count.processes, count.position, part)
         for part, count in counts.items()
         if _is_due(part, count)
     ]
-    return max(due)[3] if due else None
+    return max(due)[-1] if due else None
 
 
 def _is_due(part: str, count: CrashCount) -> bool:
@@ -289,7 +291,10 @@
     if not count.unexplained:
         return False
     if is_request(part):
-        return count.moments >= REQUEST_CRASHES_TO_QUARANTINE
+        return (
+            count.processes >= REQUEST_CRASHES_TO_QUARANTINE
+            and count.moments >= MIN_REQUEST_CRASH_TIMES
+        )
     if count.moments < MIN_PRESENCE * (count.moments + count.others):
         return False
     if count.moments >= QUICK_CRASHES_TO_QUARANTINE > count.others:
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -331,6 +331,15 @@
         assert table.is_suspect(make_parts(body=b"crashing"))
         assert not table.quarantines
 
+    def test_three_quick_crashes_blame_a_request(self):
+        """Guards against evidence that all nodes lose at once before it counts.
+
+        A request that crashes an endpoint is repeated within milliseconds.
+        """
+        table = QuarantineTable()
+        digest = self.add(table, [4.46, 4.54, 4.65])
+        assert update(table, 4.7) == [digest]
+
     def test_the_loss_of_a_zone_quarantines_no_request(self):
         table = QuarantineTable()
         self.add(table, [4.0 + number / 1000 for number in range(40)])
