--- a/packages/guavalane-entry/tests/gateway/test_crashing_prompts.py
+++ b/packages/guavalane-entry/tests/gateway/test_crashing_prompts.py
@@ -8,12 +8,13 @@
 import pytest
 
 from guavalane_core.forwarding import Delivery, Engine
+from guavalane_standins.crashing_endpoints import CrashingEndpoints
 from guavalane_standins.forwarding_samples import (
     make_configuration,
     make_endpoint,
     make_route,
 )
-from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
+from guavalane_standins.gateway_rig import NAMES, GatewayRig
 
 # Numbers of requests, so that no two are the same.
 NUMBERS = itertools.count()
@@ -43,49 +44,14 @@
     return make_configuration(route, engine=ENGINE)
 
 
-class CrashingEndpoints:
-    """Endpoints that crash when they begin to answer a crashing prompt.
-
-    Attributes:
-      crashes: Number of crashed endpoints.
-      crash_on: Prompt part that crashes them; None for none.
-
-    Args:
-      rig: Rig in which they run.
-    """
-
-    def __init__(self, rig):
-        self._rig = rig
-        self._started = 0
-        self.crashes = 0
-        self.crash_on = "crashing"
-
-    async def start(self, count):
-        """Starts endpoints."""
-        for _ in range(count):
-            name = f"e-{self._started}"
-            self._started += 1
-            endpoint = await self._rig.add_endpoint(None, name)
-            endpoint.script = self._make_script(endpoint)
-
-    def _make_script(self, endpoint):
-        async def script(exchange):
-            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-            lines.append("Transfer-Encoding: chunked")
-            headers = echo_headers(exchange)
-            lines += [f"{name}: {value}" for name, value in headers.items()]
-            await exchange.send("\r\n".join(lines).encode() + b"\r\n\r\n")
-            parts = exchange.request.header(NAMES.prompt_parts)
-            if self.crash_on is not None and self.crash_on in parts:
-                self.crashes += 1
-                await endpoint.stop()
-                await exchange.reset()
-                return
-            event = b"id: 1\ndata: token-1\n\n"
-            await exchange.send(f"{len(event):x}\r\n".encode() + event)
-            await exchange.send(b"\r\n0\r\n\r\n")
-
-        return script
+def has_crashing_part(request):
+    """Returns whether the prompt of a request has the crashing part."""
+    return "crashing" in request.header(NAMES.prompt_parts)
+
+
+def make_endpoints(rig):
+    """Returns endpoints that a prompt part crashes."""
+    return CrashingEndpoints(rig, has_crashing_part, streams=True)
 
 
 async def call(rig, context):
@@ -109,7 +75,7 @@
 
     async def test_few_endpoints_are_crashed_by_the_same_part(self):
         async with GatewayRig(make_stream_configuration()) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(12)
             assert await call(rig, "sound") == 200
             await crash_until_quarantined(rig, endpoints)
@@ -120,11 +86,11 @@
     async def test_a_part_that_was_served_can_start_to_crash_endpoints(self):
         """Guards against a part that is exempt as it was served before."""
         async with GatewayRig(make_stream_configuration()) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(12)
-            endpoints.crash_on = None
+            endpoints.crashes_on = lambda request: False
             assert await call(rig, "crashing") == 200
-            endpoints.crash_on = "crashing"
+            endpoints.crashes_on = has_crashing_part
             await crash_until_quarantined(rig, endpoints)
             for _ in range(6):
                 await call(rig, "crashing")
@@ -132,7 +98,7 @@
 
     async def test_the_caller_is_told_at_once_that_nothing_ran(self):
         async with GatewayRig(make_stream_configuration()) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(6)
             await call(rig, "sound")
             await crash_until_quarantined(rig, endpoints)
@@ -146,7 +112,7 @@
 
     async def test_other_prompts_with_the_same_first_part_are_served(self):
         async with GatewayRig(make_stream_configuration()) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(6)
             await call(rig, "sound")
             await crash_until_quarantined(rig, endpoints)
@@ -156,7 +122,7 @@
     async def test_a_suspected_prompt_is_not_repeated(self):
         """Guards against one request that crashes several endpoints."""
         async with GatewayRig(make_stream_configuration(resumable=True)) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(8)
             parts = {"common": 0, "crashing": 1}
             for name in ("gone-1", "gone-2"):
--- a/packages/guavalane-entry/tests/gateway/test_crashing_requests.py
+++ b/packages/guavalane-entry/tests/gateway/test_crashing_requests.py
@@ -7,13 +7,14 @@
 import pytest
 
 from guavalane_core.forwarding import Delivery, Engine, Organisation
+from guavalane_standins.crashing_endpoints import CrashingEndpoints
 from guavalane_standins.forwarding_samples import (
     make_configuration,
     make_endpoint,
     make_parts,
     make_route,
 )
-from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
+from guavalane_standins.gateway_rig import NAMES, GatewayRig
 
 # Time from one coming of a request to the next, in seconds.
 PAUSE_S = 0.15
@@ -26,43 +27,9 @@
 }
 
 
-class CrashingEndpoints:
-    """Endpoints that crash when they run a request with a certain body.
-
-    Attributes:
-      crashes: Number of crashed endpoints.
-      crash_on: Body that crashes them.
-
-    Args:
-      rig: Rig in which they run.
-    """
-
-    def __init__(self, rig):
-        self._rig = rig
-        self._started = 0
-        self.crashes = 0
-        self.crash_on = CRASHING
-
-    async def start(self, count):
-        """Starts endpoints."""
-        for _ in range(count):
-            name = f"e-{self._started}"
-            self._started += 1
-            endpoint = await self._rig.add_endpoint(None, name)
-            endpoint.script = self._make_script(endpoint)
-
-    def _make_script(self, endpoint):
-        async def script(exchange):
-            if exchange.request.body == self.crash_on:
-                self.crashes += 1
-                await endpoint.stop()
-                await exchange.reset()
-                return
-            await exchange.answer(
-                200, echo_headers(exchange), b"id: 1\ndata: 1\n\n"
-            )
-
-        return script
+def make_endpoints(rig, **changes):
+    """Returns endpoints that a request body crashes."""
+    return CrashingEndpoints(rig, lambda r: r.body == CRASHING, **changes)
 
 
 async def call(rig, body=CRASHING, *, path="/a/x", headers=None):
@@ -95,7 +62,7 @@
     )
     async def test_a_plain_request_crashes_few_endpoints(self, delivery):
         async with make_rig(delivery) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(14)
             for _ in range(8):
                 await call(rig)
@@ -107,14 +74,14 @@
     async def test_one_request_crashes_two_endpoints_at_most(self):
         """Guards against an idempotent request repeated while it crashes."""
         async with make_rig(Delivery.IDEMPOTENT) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(6)
             assert await call(rig) == 502
             assert endpoints.crashes == 2
 
     async def test_the_caller_is_told_at_once_that_nothing_ran(self):
         async with make_rig() as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(6)
             await crash_until_quarantined(rig)
             async with rig.call(body=CRASHING) as answer:
@@ -132,10 +99,10 @@
         self, path, body
     ):
         async with make_rig() as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(6)
             await crash_until_quarantined(rig)
-            endpoints.crash_on = None
+            endpoints.crashes_on = lambda request: False
             assert await call(rig, body, path=path) == 200
 
     async def test_the_same_request_of_another_caller_is_served(self):
@@ -146,7 +113,7 @@
             make_route(timeout_s=5.0), organisations=organisations
         )
         async with GatewayRig(configuration) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig)
             await endpoints.start(6)
             one, two = (
                 {"Authorization": f"Bearer {name}"} for name in ("one", "two")
@@ -154,7 +121,7 @@
             for _ in range(CRASHES_TO_QUARANTINE):
                 await call(rig, headers=one)
                 await asyncio.sleep(PAUSE_S)
-            endpoints.crash_on = None
+            endpoints.crashes_on = lambda request: False
             assert await call(rig, headers=one) == 503
             assert await call(rig, headers=two) == 200
 
@@ -162,7 +129,7 @@
         """Guards against a shared prompt part blamed for one request."""
         engine = Engine(slots=4, kv_tokens=100_000)
         async with make_rig(Delivery.STREAM, engine=engine) as rig:
-            endpoints = CrashingEndpoints(rig)
+            endpoints = make_endpoints(rig, streams=True)
             await endpoints.start(8)
             for _ in range(CRASHES_TO_QUARANTINE + 2):
                 await call(rig, headers=PROMPT_HEADERS)
