Leave requests seen at one crash out of the evaluation

Most requests at a crash are at no other one. A node also no longer waits for the check of a crash when the request may not be repeated anyway.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Container, Iterable, Iterator
 
 import attrs
 
@@ -46,10 +46,12 @@
     presence: dict[str, int] = attrs.field(factory=dict)
     positions: dict[str, int] = attrs.field(factory=dict)
 
-    def add(self, crash: Crash) -> None:
-        """Adds a crash to the group."""
+    def add(self, crash: Crash, ignored: Container[str] = ()) -> None:
+        """Adds a crash to the group, without the parts that are ignored."""
         self.processes += 1
         for part, position in crash.parts.items():
+            if part in ignored:
+                continue
             self.presence[part] = self.presence.get(part, 0) + 1
             self.positions[part] = max(position, self.positions.get(part, 0))
 
@@ -72,14 +74,21 @@
                 yield part
 
 
-def group_crashes(crashes: Iterable[Crash]) -> Iterator[CrashGroup]:
-    """Yields the crashes by the time at which they happened, in order."""
+def group_crashes(
+    crashes: Iterable[Crash], ignored: Container[str] = ()
+) -> Iterator[CrashGroup]:
+    """Yields the crashes by the time at which they happened, in order.
+
+    Args:
+      crashes: Crashes.
+      ignored: Parts that are left out.
+    """
     group: CrashGroup | None = None
     for crash in sorted(crashes, key=lambda crash: crash.at_s):
         if group is None or crash.at_s - group.at_s > SIMULTANEOUS_S:
             if group is not None:
                 yield group
             group = CrashGroup(crash.at_s)
-        group.add(crash)
+        group.add(crash, ignored)
     if group is not None:
         yield group
--- a/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from guavalane_core.quarantine.crash import Crash, group_crashes
+from guavalane_core.quarantine.crash import Crash, CrashGroup, group_crashes
 from guavalane_core.quarantine.parts import RequestHeads, is_request
 
 # Interval between crashes that count as separate, in seconds. A part that is
@@ -100,6 +100,9 @@
         self._last_crashes_s: OrderedDict[str, float] = OrderedDict()
         # Heads of the requests among these parts.
         self._heads = RequestHeads()
+        # Requests that were present at one crash, which are most of those at
+        # any: they are no suspects, and left out of the evaluation.
+        self._seen_once: set[str] = set()
         self._successes: OrderedDict[str, float] = OrderedDict()
         # Successes by node since the last crash with a part.
         self._success_counts: dict[str, dict[str, int]] = {}
@@ -133,17 +136,27 @@
         if crash is None:
             crash = self._crashes[process] = Crash(process, at_s)
             if len(self._crashes) > MAX_CRASHES:
-                self._crashes.popitem(last=False)
+                _, forgotten = self._crashes.popitem(last=False)
+                self._seen_once -= forgotten.parts.keys()
         crash.at_s = min(crash.at_s, at_s)
         for part, position in parts.items():
             if len(crash.parts) >= MAX_PARTS_PER_CRASH:
                 break
             if part not in crash.parts and len(part) <= MAX_PART_ID_LENGTH:
                 crash.parts[part] = position
+                self._record_presence(part)
                 self._record_last_crash(part, crash.at_s)
                 is_new = True
         return is_new
 
+    def _record_presence(self, part: str) -> None:
+        if not is_request(part):
+            return
+        if part in self._last_crashes_s:
+            self._seen_once.discard(part)
+        else:
+            self._seen_once.add(part)
+
     def _record_last_crash(self, part: str, at_s: float) -> None:
         if part not in self._last_crashes_s:
             self._heads.add(part)
@@ -226,6 +239,9 @@
             if crash.at_s >= now_s - max_age_s:
                 yield crash
 
+    def _recent_groups(self, now_s: float) -> Iterator[CrashGroup]:
+        return group_crashes(self.recent_crashes(now_s), self._seen_once)
+
     def clear_part(self, part: str, at_s: float) -> None:
         """Clears a part of all crashes up to a time.
 
@@ -258,7 +274,7 @@
         """
         counts: dict[str, CrashCount] = {}
         moments_s: list[float] = []
-        for group in group_crashes(self.recent_crashes(now_s)):
+        for group in self._recent_groups(now_s):
             moments_s.append(group.at_s)
             requests = {
                 part
@@ -306,7 +322,7 @@
         """
         counts: dict[str, int] = {}
         sole: set[str] = set()
-        for group in group_crashes(self.recent_crashes(now_s)):
+        for group in self._recent_groups(now_s):
             present = [
                 part
                 for part in group.common_parts()
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -340,6 +340,20 @@
         digest = self.add(table, [4.46, 4.54, 4.65])
         assert update(table, 4.7) == [digest]
 
+    def test_a_request_counts_from_its_first_crash_on(self):
+        """Guards against a crash that is left out as the request was new."""
+        table = QuarantineTable()
+        digest = self.add(table, [4.0])
+        assert digest not in table.evidence.count_crashes(4.1, ())
+        self.add(table, [5.0])
+        assert table.evidence.count_crashes(5.1, ())[digest].moments == 2
+
+    def test_memory_of_requests_is_bounded(self):
+        table = QuarantineTable()
+        for number in range(MAX_CRASHES + 10):
+            self.add(table, [float(number)], f"request {number}".encode())
+        assert len(table.evidence._seen_once) == MAX_CRASHES
+
     def test_the_loss_of_a_zone_quarantines_no_request(self):
         table = QuarantineTable()
         self.add(table, [4.0 + number / 1000 for number in range(40)])
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -197,17 +197,20 @@
             if outcome is AttemptOutcome.ANSWERED:
                 return outcome
             if outcome is AttemptOutcome.BROKEN:
-                await self._wait_for_suspicion(endpoint)
+                await self._wait_before_repeating(endpoint)
             if self._decide(outcome, endpoint) is not Decision.TRY_ANOTHER:
                 return outcome
         return outcome
 
-    async def _wait_for_suspicion(self, endpoint: Endpoint) -> None:
+    async def _wait_before_repeating(self, endpoint: Endpoint) -> None:
         """Waits until a second crash under the request would be known.
 
         A request that has crashed two endpoints is not repeated at a third.
         """
-        if self._view.quarantines.has_open_crash(self._admitted.parts):
+        has_open_crash = self._view.quarantines.has_open_crash
+        if self._admitted.route.repeatable and has_open_crash(
+            self._admitted.parts
+        ):
             await self._components.crash_monitor.wait_checked(endpoint)
 
     def _find_quarantine(self) -> Quarantine | None:
