Blame no popular part for endpoints that crash at the same moment

Cause: crashes by requests at 8.5 and 10.1 s, and four endpoints that crashed at once for another reason at 9.1 s. Parts at half of the crashes of one time counted, and the first part of the route's prompts was at two of the four. So it had three crashes and the crashing part two.

Change: three or more crashes at the same time count only against parts present at all of them. For two the rule stays, as they can coincide.

Test: test_a_popular_part_at_half_of_a_wave_is_not_blamed failed before.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
@@ -11,6 +11,8 @@
 # Crashes within this time of the first one have a common cause, in seconds: the
 # loss of an availability zone crashes many endpoints at once.
 SIMULTANEOUS_S = 0.1
+# Crashes at the same time that may have different causes.
+MAX_COINCIDENT_CRASHES = 2
 
 
 @attrs.define
@@ -64,13 +66,17 @@
         return filter(is_request, self.presence)
 
     def common_parts(self) -> Iterator[str]:
-        """Yields the parts that were present at half of the crashes or more.
+        """Yields the parts that may have caused the crashes.
 
-        A part that causes a crash is present at it, while the other crashes of
-        the same time may have another cause.
+        A part that causes a crash is present at it. The other one of two
+        crashes may have another cause by chance. More at a time have one cause,
+        such as the loss of a zone, and popular parts are present at most.
         """
+        required = self.processes
+        if required <= MAX_COINCIDENT_CRASHES:
+            required /= 2
         for part, present in self.presence.items():
-            if 2 * present >= self.processes:
+            if present >= required:
                 yield part
 
 
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -123,6 +123,20 @@
         assert table.find(make_parts("crashing")).crashes == 3
         assert table.find(make_parts("sound")) is None
 
+    def test_a_popular_part_at_half_of_a_wave_is_not_blamed(self):
+        """Guards against all prompts of a route refused for one of them."""
+        table = QuarantineTable()
+        add_crashes(table, [8.5], ["common", "crashing"])
+        for number, parts in enumerate(
+            [["common"], ["other"], ["common"], ["other"]]
+        ):
+            at_s = 9.06 + number / 1000
+            add_crashes(table, [at_s], [*parts, f"session-{number}"])
+        add_crashes(table, [10.1], ["common", "crashing"])
+        assert update(table, 10.1) == []
+        add_crashes(table, [11.0], ["common", "crashing"])
+        assert update(table, 11.0) == ["crashing"]
+
     def test_quick_crashes_start_a_quarantine(self):
         """Guards against a burst that counts as few crashes for seconds."""
         table = QuarantineTable()
