Count a request at crashes of the same moment as well

With the rule of the commit before, a request at one of three endpoints that crash within 0.1 s did not count, and a shared part that all have was blamed. Popular parts are present at such crashes by chance, one request seldom is.

Test: test_crashes_at_the_same_moment_do_not_hide_a_request failed before.

--- a/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/crash.py
@@ -70,13 +70,13 @@
 
         A part that causes a crash is present at it. The other one of two
         crashes may have another cause by chance. More at a time have one cause,
-        such as the loss of a zone, and popular parts are present at most.
+        such as the loss of a zone, and popular parts are present at most. A
+        single request is seldom present by chance.
         """
-        required = self.processes
-        if required <= MAX_COINCIDENT_CRASHES:
-            required /= 2
+        has_one_cause = self.processes > MAX_COINCIDENT_CRASHES
         for part, present in self.presence.items():
-            if present >= required:
+            is_at_all = present == self.processes
+            if is_at_all or not has_one_cause or is_request(part):
                 yield part
 
 
--- a/packages/guavalane-core/src/guavalane_core/quarantine/parts.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/parts.py
@@ -15,8 +15,6 @@
 DIGEST_BYTES = 8
 # Distinguishes the digest of a request from the identifier of a prompt part.
 REQUEST_PREFIX = "request/"
-
-
 # Length of the digest of a request in characters.
 DIGEST_LENGTH = len(REQUEST_PREFIX) + 4 * DIGEST_BYTES
 
--- a/packages/guavalane-core/tests/quarantine/test_quarantine.py
+++ b/packages/guavalane-core/tests/quarantine/test_quarantine.py
@@ -380,6 +380,16 @@
         digest = self.add(table, [4.2, 5.2, 6.2])
         assert update(table, 8.0) == [digest]
 
+    def test_crashes_at_the_same_moment_do_not_hide_a_request(self):
+        """Guards against a request that goes on when others crash as well."""
+        table = QuarantineTable()
+        for at_s in (4.0, 6.0, 8.0):
+            digest = self.add(table, [at_s])
+            for number in range(3):
+                beside_s = at_s + (number + 1) / 100
+                self.add(table, [beside_s], f"sound {beside_s}".encode())
+        assert digest in update(table, 8.1)
+
     def test_a_request_that_is_served_in_between_is_sound(self):
         table = QuarantineTable()
         digest = self.add(table, [4.0, 5.0])
