--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -448,6 +448,19 @@
         return self.version, "n2"
 
 
+def make_reader(watches, reports, version=lambda: 0):
+    """Returns a reader of copies of other nodes.
+
+    Args:
+      watches: Watches by kind.
+      reports: Reports of the other nodes.
+      version: Returns the version of the configuration in force.
+    """
+    timers = LoopTimers()
+    log = DecisionLog("n2", timers.wall)
+    return CopyReader(watches, reports, version, timers, log, random.Random(1))
+
+
 class TestCopyReader:
     """Guards against a node that stays outdated while its peers are current."""
 
@@ -465,15 +478,11 @@
             {PATH + "configuration": functools.partial(encode_copy, first)},
         )
         await listener.start()
-        timers = LoopTimers()
         reports = FakeReports(str(address))
-        reader = CopyReader(
+        reader = make_reader(
             {"configuration": second},
             reports,
             lambda: sink.bodies["a"]["n"] if sink.bodies else 0,
-            timers,
-            DecisionLog("n2", timers.wall),
-            random.Random(1),
         )
         first.start()
         second.start()
@@ -528,15 +537,7 @@
         server = await asyncio.start_server(
             serve_late, address.host, address.port
         )
-        timers = LoopTimers()
-        reader = CopyReader(
-            {"things": watch},
-            FakeReports(str(address)),
-            lambda: 0,
-            timers,
-            DecisionLog("n2", timers.wall),
-            random.Random(1),
-        )
+        reader = make_reader({"things": watch}, FakeReports(str(address)))
         watch.start()
         await run_ready_tasks()
         api.fail(ObjectApiUnavailableError("down"))
@@ -565,15 +566,7 @@
             address, {PATH + "things": lambda: (200, body)}
         )
         await listener.start()
-        timers = LoopTimers()
-        reader = CopyReader(
-            {"things": watch},
-            FakeReports(str(address)),
-            lambda: 0,
-            timers,
-            DecisionLog("n2", timers.wall),
-            random.Random(1),
-        )
+        reader = make_reader({"things": watch}, FakeReports(str(address)))
         reader.start()
         await reader._read("things", ["n1"], lambda: True)
         assert sink.bodies == {"a": {"n": 2}}
