--- a/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/quarantine/evidence.py
@@ -39,7 +39,7 @@
       separate: Number of those that are separated from the one before.
       unexplained: Number of separate ones without a part in quarantine.
       moments: Number of different times of these crashes.
-      processes: Number of endpoint processes that crashed.
+      processes: Number of endpoint processes that crashed with the part.
       others: Number of different times of crashes that do not count against the
           part.
       position: Largest position of the part in a request. Parts further back
