--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -357,7 +357,7 @@
         )
 
     def _was_served(self) -> bool:
-        """Returns whether the endpoint of the attempt ran it without a crash.
+        """Returns whether the endpoint of the attempt ran the request.
 
         The response of a plain service begins when the request has run.
         """
