Break off broken statuses and resets during an upload for all clients

Cause: clients passed statuses outside 100 to 599 on. aiohttp ends a body without a length when its connection is reset; only the endpoint clients checked for that, with an exception that a later close clears. The store, the platform API, the object API and the copies of peers took such a body as complete, and four clients did not use BoundedResponseHandler at all.

Change: BoundedResponseHandler fails the request on such a status, and the body when the connection is lost with an error before the end of the body. make_session uses BoundedConnector by default, and the poller of loads, the VM list, the notices and the command line use make_session. was_reset is not needed any more.

--- a/packages/guavalane-cli/src/guavalane_cli/client.py
+++ b/packages/guavalane-cli/src/guavalane_cli/client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from guavalane_core.exceptions import GuavalaneError
+from guavalane_entry.http_session import make_session
 
 REQUEST_TIMEOUT_S = 10.0
 
@@ -64,7 +65,7 @@
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                make_session(timeout=timeout) as session,
                 session.request(
                     method, self._url + path, json=body, headers=self._headers
                 ) as response,
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -22,11 +22,7 @@
 from guavalane_core.timers import Timers
 from guavalane_entry.callers.admission import EndpointLimits
 from guavalane_entry.endpoints.pool import EndpointPool
-from guavalane_entry.http_connection import (
-    BoundedConnector,
-    current_protocol,
-    was_reset,
-)
+from guavalane_entry.http_connection import BoundedConnector
 from guavalane_entry.http_session import make_session
 
 CONNECT_TIMEOUT_S = 1.0
@@ -479,14 +475,11 @@
     async def _read_body(
         self, view: EndpointView, answer: aiohttp.ClientResponse
     ) -> bytes:
-        protocol = current_protocol.get()
         body = bytearray()
         async for data in answer.content.iter_any():
             body += data
             if len(body) > MAX_BODY_BYTES:
                 raise AttemptError(f"{view.name}: body too large", sent=True)
-        if was_reset(protocol):
-            raise AttemptError(f"{view.name}: connection reset", sent=True)
         return bytes(body)
 
     async def _read_end(self, answer: aiohttp.ClientResponse) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/load.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/load.py
@@ -12,6 +12,7 @@
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
 from guavalane_entry.endpoints.pool import EndpointPool
+from guavalane_entry.http_session import make_session
 
 RUNNING_METRIC = "vllm:num_requests_running"
 WAITING_METRIC = "vllm:num_requests_waiting"
@@ -104,7 +105,7 @@
 
     async def _run(self) -> None:
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with make_session(timeout=timeout) as session:
             while True:
                 if len(self._polls) < MAX_CONCURRENT_POLLS:
                     name = self.next_endpoint()
--- a/packages/guavalane-entry/src/guavalane_entry/fleet/notices.py
+++ b/packages/guavalane-entry/src/guavalane_entry/fleet/notices.py
@@ -11,6 +11,7 @@
 
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
+from guavalane_entry.http_session import make_session
 
 HEADERS = {"Metadata-Flavor": "Google"}
 RETRY_S = 1.0
@@ -47,7 +48,7 @@
     async def _run(self) -> None:
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         query = {"wait_for_change": "true"}
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with make_session(timeout=timeout) as session:
             while True:
                 try:
                     async with session.get(
--- a/packages/guavalane-entry/src/guavalane_entry/fleet/vm_list.py
+++ b/packages/guavalane-entry/src/guavalane_entry/fleet/vm_list.py
@@ -13,6 +13,7 @@
 
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
+from guavalane_entry.http_session import make_session
 
 READ_PERIOD_S = 2.0
 JITTER = 0.25
@@ -114,7 +115,7 @@
 
     async def _run(self) -> None:
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with make_session(timeout=timeout) as session:
             while True:
                 size = 0
                 try:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -19,7 +19,6 @@
     ResponseIdentity,
     current_protocol,
     expected_identity,
-    was_reset,
 )
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 
@@ -132,11 +131,7 @@
             data = await self.response.content.readany()
         except (aiohttp.ClientError, OSError) as error:
             raise BrokenResponseError(repr(error)) from error
-        if data:
-            return data
-        if was_reset(self.protocol):
-            raise BrokenResponseError("the connection was reset")
-        return None
+        return data or None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -10,6 +10,7 @@
 import aiohttp
 import attrs
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import BadHttpMessage
 from loguru import logger as log
 
 # Bytes before the end of the response headers after which a connection is
@@ -31,6 +32,10 @@
 # off, in bytes. The smallest nodes have 200 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+# Statuses outside this range are no HTTP responses.
+MIN_STATUS = 100
+MAX_STATUS = 599
+
 # Numbers of the connections of this process, for logs.
 _numbers = itertools.count(1)
 
@@ -62,7 +67,11 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Protocol that closes a connection whose bytes never form a response.
+    """Protocol that breaks off what is no complete response.
+
+    A status outside 100 to 599 breaks the connection. A body without a length
+    is complete only if its connection was not reset; aiohttp treats a reset as
+    the end of such a body.
 
     The parser limits lines and headers, but skips any number of blank lines
     before a response, interim responses, and digits and extensions of a chunk
@@ -137,6 +146,9 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receives the head of a response, with its body."""
         message, body = data
+        if not MIN_STATUS <= message.code <= MAX_STATUS:
+            self._break_off(message.code, body)
+            return
         if 100 <= message.code < 200:
             self._interim_responses += 1
         else:
@@ -147,6 +159,26 @@
                 return
         super().feed_data(data, size)
 
+    def _break_off(self, status: int, body: Any) -> None:
+        """Fails the request whose response has a broken status."""
+        log.debug("http: closing a connection with the status {}", status)
+        error = BadHttpMessage(f"the status is {status}")
+        body.set_exception(aiohttp.ClientPayloadError(str(error)))
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fails a body that is not complete when the connection is reset."""
+        body = self._payload
+        if isinstance(exc, OSError) and body is not None and not body.is_eof():
+            # Before aiohttp marks the end of a body without a length. A later
+            # close, such as one at the end of the upload, clears the exception
+            # of the protocol but not that of the body.
+            error = aiohttp.ClientPayloadError(f"connection reset: {exc!r}")
+            body.set_exception(error, exc)
+        super().connection_lost(exc)
+
     def _is_late_copy(self, message: Any, body: Any) -> bool:
         """Returns whether a response belongs to an earlier request."""
         if (
@@ -181,17 +213,6 @@
             self.transport.abort()
 
 
-def was_reset(protocol: Any) -> bool:
-    """Returns whether a connection ended with an error.
-
-    aiohttp treats a reset as the end of a body without a length.
-
-    Args:
-      protocol: Protocol of the connection, see `current_protocol`.
-    """
-    return isinstance(protocol.exception(), OSError)
-
-
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector that reuses connections whose next response can be identified.
 
--- a/packages/guavalane-entry/src/guavalane_entry/http_session.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_session.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from guavalane_entry.http_connection import BoundedConnector
+
 # Time after which a connection with unacknowledged data is closed.
 USER_TIMEOUT_MS = 2500
 # TCP keepalive. An unresponsive idle connection is closed after about 4 s.
@@ -35,7 +37,14 @@
 
 
 def make_session(**kwargs: Any) -> aiohttp.ClientSession:
-    """Returns a session; accepts the arguments of `aiohttp.ClientSession`."""
+    """Returns a session that takes no broken response for a complete one.
+
+    Args:
+      **kwargs: Arguments of `aiohttp.ClientSession`. The connector is a
+          `BoundedConnector` by default.
+    """
+    if "connector" not in kwargs:
+        kwargs["connector"] = BoundedConnector()
     return aiohttp.ClientSession(middlewares=(_forbid_resend,), **kwargs)
 
 
