--- a/packages/guavalane-core/src/guavalane_core/configuration/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/configuration/__init__.py
@@ -2,33 +2,27 @@
 
 from __future__ import annotations
 
-from guavalane_core.configuration.changes import apply_delta, make_delta
-from guavalane_core.configuration.generated import (
-    Configuration,
-    Deployment,
-    Endpoint,
-    FleetRules,
-    MoveOutcome,
-    MoveRule,
-    Organisation,
-    Route,
-    Version,
-)
-from guavalane_core.configuration.state import ConfigurationState
-from guavalane_core.configuration.validation import parse_configuration
+from guavalane_core.lazy_exports import lazy_exports
 
-__all__ = [
-    "Configuration",
-    "ConfigurationState",
-    "Deployment",
-    "Endpoint",
-    "FleetRules",
-    "MoveOutcome",
-    "MoveRule",
-    "Organisation",
-    "Route",
-    "Version",
-    "apply_delta",
-    "make_delta",
-    "parse_configuration",
-]
+__getattr__, __all__ = lazy_exports(
+    __name__,
+    {
+        "changes": (
+            "apply_delta",
+            "make_delta",
+        ),
+        "generated": (
+            "Configuration",
+            "Deployment",
+            "Endpoint",
+            "FleetRules",
+            "MoveOutcome",
+            "MoveRule",
+            "Organisation",
+            "Route",
+            "Version",
+        ),
+        "state": ("ConfigurationState",),
+        "validation": ("parse_configuration",),
+    },
+)
--- a/packages/guavalane-core/src/guavalane_core/limits/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/limits/__init__.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-from guavalane_core.limits.backoff import Backoff
-from guavalane_core.limits.budget import RetryBudget
-from guavalane_core.limits.concurrency import ConcurrencyLimit
-from guavalane_core.limits.queue import FairQueue, Ticket
-from guavalane_core.limits.shedder import ShedDecision, Shedder
+from guavalane_core.lazy_exports import lazy_exports
 
-__all__ = [
-    "Backoff",
-    "ConcurrencyLimit",
-    "FairQueue",
-    "RetryBudget",
-    "ShedDecision",
-    "Shedder",
-    "Ticket",
-]
+__getattr__, __all__ = lazy_exports(
+    __name__,
+    {
+        "backoff": ("Backoff",),
+        "budget": ("RetryBudget",),
+        "concurrency": ("ConcurrencyLimit",),
+        "queue": (
+            "FairQueue",
+            "Ticket",
+        ),
+        "shedder": (
+            "ShedDecision",
+            "Shedder",
+        ),
+    },
+)
--- a/packages/guavalane-core/src/guavalane_core/messages/codec.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/codec.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import functools
+import importlib
 from collections.abc import Callable
+from types import ModuleType
 from typing import Any
 
 import attrs
@@ -18,17 +20,37 @@
     MessageError,
     ProtocolVersionError,
 )
-from guavalane_core.messages import generated
+from guavalane_core.messages import generated_gateway
 from guavalane_core.schema import options
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 1 << 20
 
-_CLASSES_BY_TYPE_ID = {
-    cls.TYPE_ID: cls
-    for name in generated.__all__
-    if hasattr(cls := getattr(generated, name), "TYPE_ID")
-}
+
+def _classes_by_type_id(module: ModuleType) -> dict[int, type]:
+    return {
+        cls.TYPE_ID: cls
+        for name in module.__all__
+        if hasattr(cls := getattr(module, name), "TYPE_ID")
+    }
+
+
+_GATEWAY_CLASSES = _classes_by_type_id(generated_gateway)
+
+
+@functools.cache
+def _other_classes() -> dict[int, type]:
+    """Returns the classes that gateway nodes do not use, by type ID."""
+    return _classes_by_type_id(
+        importlib.import_module("guavalane_core.messages.generated")
+    )
+
+
+def _class_of(type_id: Any) -> type | None:
+    """Returns the class of a type ID, or None if it is unknown."""
+    if not isinstance(type_id, int):
+        return None
+    return _GATEWAY_CLASSES.get(type_id) or _other_classes().get(type_id)
 
 
 def _encode_fields(message: Any) -> list[Any]:
@@ -136,7 +158,7 @@
         raise ProtocolVersionError(
             f"protocol version {version!r}, expected {PROTOCOL_VERSION}"
         )
-    cls = _CLASSES_BY_TYPE_ID.get(type_id) if isinstance(type_id, int) else None
+    cls = _class_of(type_id)
     if cls is None:
         raise MessageError(f"unknown message type {type_id!r}")
     try:
--- a/packages/guavalane-core/src/guavalane_core/moves/evidence.py
+++ b/packages/guavalane-core/src/guavalane_core/moves/evidence.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import attrs
 
-from guavalane_core.messages import Evidence
+if TYPE_CHECKING:
+    from guavalane_core.messages import Evidence
 
 # Length of a window in seconds. Shorter windows detect faults sooner; at 2 s,
 # the reports of eight nodes on three routes stay within 2 KB/s at the leader.
@@ -118,6 +120,9 @@
     move: str, version: str, route: str, window: int, counts: AttemptCounts
 ) -> Evidence:
     """Encodes counts as a message to the leader."""
+    # Gateway nodes count attempts, but send no evidence.
+    from guavalane_core.messages import Evidence
+
     return Evidence(
         move=move,
         version=version,
--- a/packages/guavalane-core/src/guavalane_core/objects/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/objects/__init__.py
@@ -2,37 +2,30 @@
 
 from __future__ import annotations
 
-from guavalane_core.objects.api import (
-    MetadataEvent,
-    ObjectApi,
-    ObjectBatch,
-    ObjectEvent,
-    ObjectMetadata,
-    PollableObjectApi,
-    StatusApi,
-    StoredObject,
-)
-from guavalane_core.objects.budget import (
-    BudgetedObjectApi,
-    PriorityObjectApi,
-)
-from guavalane_core.objects.memory import MemoryObjectApi
-from guavalane_core.objects.position import Position, era_of
-from guavalane_core.objects.writer import ConditionalWriter
+from guavalane_core.lazy_exports import lazy_exports
 
-__all__ = [
-    "BudgetedObjectApi",
-    "ConditionalWriter",
-    "MemoryObjectApi",
-    "MetadataEvent",
-    "ObjectApi",
-    "ObjectBatch",
-    "ObjectEvent",
-    "ObjectMetadata",
-    "PollableObjectApi",
-    "Position",
-    "PriorityObjectApi",
-    "StatusApi",
-    "StoredObject",
-    "era_of",
-]
+__getattr__, __all__ = lazy_exports(
+    __name__,
+    {
+        "api": (
+            "MetadataEvent",
+            "ObjectApi",
+            "ObjectBatch",
+            "ObjectEvent",
+            "ObjectMetadata",
+            "PollableObjectApi",
+            "StatusApi",
+            "StoredObject",
+        ),
+        "budget": (
+            "BudgetedObjectApi",
+            "PriorityObjectApi",
+        ),
+        "memory": ("MemoryObjectApi",),
+        "position": (
+            "Position",
+            "era_of",
+        ),
+        "writer": ("ConditionalWriter",),
+    },
+)
--- a/packages/guavalane-core/src/guavalane_core/routing/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/routing/__init__.py
@@ -2,27 +2,22 @@
 
 from __future__ import annotations
 
-from guavalane_core.routing.ejection import OutlierEjector
-from guavalane_core.routing.policies import POLICIES, Policy
-from guavalane_core.routing.preferences import filter_preferred
-from guavalane_core.routing.prefix_aware import PrefixAware
-from guavalane_core.routing.prefix_index import (
-    CacheChange,
-    CacheEvent,
-    PrefixIndex,
-)
-from guavalane_core.routing.subset import choose_subset
-from guavalane_core.routing.view import EndpointView
+from guavalane_core.lazy_exports import lazy_exports
 
-__all__ = [
-    "POLICIES",
-    "CacheChange",
-    "CacheEvent",
-    "EndpointView",
-    "OutlierEjector",
-    "Policy",
-    "PrefixAware",
-    "PrefixIndex",
-    "choose_subset",
-    "filter_preferred",
-]
+__getattr__, __all__ = lazy_exports(
+    __name__,
+    {
+        "ejection": ("OutlierEjector",),
+        "policies": ("Policy",),
+        "preferences": ("filter_preferred",),
+        # This module registers the last of the policies.
+        "prefix_aware": ("POLICIES", "PrefixAware"),
+        "prefix_index": (
+            "CacheChange",
+            "CacheEvent",
+            "PrefixIndex",
+        ),
+        "subset": ("choose_subset",),
+        "view": ("EndpointView",),
+    },
+)
--- a/packages/guavalane-core/src/guavalane_core/settings/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/settings/__init__.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-from guavalane_core.settings.generated import (
-    LimitSettings,
-    Listen,
-    LogSettings,
-    NodeSettings,
-    ObjectApiSettings,
-)
-from guavalane_core.settings.loader import load_settings, parse_settings
+from guavalane_core.lazy_exports import lazy_exports
 
-__all__ = [
-    "LimitSettings",
-    "Listen",
-    "LogSettings",
-    "NodeSettings",
-    "ObjectApiSettings",
-    "load_settings",
-    "parse_settings",
-]
+__getattr__, __all__ = lazy_exports(
+    __name__,
+    {
+        "generated": (
+            "LimitSettings",
+            "Listen",
+            "LogSettings",
+            "NodeSettings",
+            "ObjectApiSettings",
+        ),
+        "loader": (
+            "load_settings",
+            "parse_settings",
+        ),
+    },
+)
--- a/packages/guavalane-core/tests/test_lazy_exports.py
+++ b/packages/guavalane-core/tests/test_lazy_exports.py
@@ -8,14 +8,31 @@
 
 import pytest
 
-PACKAGES = ("fleet", "leases", "membership", "moves")
+PACKAGES = (
+    "configuration",
+    "fleet",
+    "leases",
+    "limits",
+    "membership",
+    "moves",
+    "objects",
+    "routing",
+    "settings",
+)
 # Modules that a gateway node does not use.
 UNUSED_MODULES = (
     "cattrs",
+    "guavalane_core.configuration",
     "guavalane_core.fleet.planner",
     "guavalane_core.membership.machine",
+    "guavalane_core.messages.generated",
     "guavalane_core.moves.leader",
+    "guavalane_core.objects.memory",
+    "guavalane_core.routing.policies",
+    "guavalane_core.settings",
     "aiohttp.web_app",
+    "json5",
+    "prometheus_client",
     "sanic",
     "websockets",
 )
--- a/packages/guavalane-core/tests/test_messages.py
+++ b/packages/guavalane-core/tests/test_messages.py
@@ -7,7 +7,7 @@
 
 from guavalane_core import messages
 from guavalane_core.exceptions import MessageError, ProtocolVersionError
-from guavalane_core.messages import generated
+from guavalane_core.messages import generated, generated_gateway
 
 PING = messages.Ping(
     sequence=7,
@@ -59,8 +59,9 @@
     def test_type_ids_are_unique(self):
         messages = [
             cls
-            for name in generated.__all__
-            if hasattr(cls := getattr(generated, name), "TYPE_ID")
+            for module in (generated, generated_gateway)
+            for name in module.__all__
+            if hasattr(cls := getattr(module, name), "TYPE_ID")
         ]
         ids = {cls.TYPE_ID for cls in messages}
         assert len(ids) == len(messages)
--- a/packages/guavalane-entry/src/guavalane_entry/logs.py
+++ b/packages/guavalane-entry/src/guavalane_entry/logs.py
@@ -10,13 +10,15 @@
 import json
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 from loguru import logger
 
-from guavalane_core.settings import LogSettings
 from guavalane_entry.line_writer import LineWriter
 
+if TYPE_CHECKING:
+    from guavalane_core.settings import LogSettings
+
 PLAIN_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message}"
 DEFAULT_FORMAT = (
     "{time:YYYY-MM-DD HH:mm:ss.SSS} | {level: <8} |"
--- a/packages/guavalane-entry/src/guavalane_entry/metrics.py
+++ b/packages/guavalane-entry/src/guavalane_entry/metrics.py
@@ -4,15 +4,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    Metric,
-    SummaryMetricFamily,
-)
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+    from prometheus_client.core import Metric
 
 # Histograms cover 0.1 ms to 1 hour with a resolution of 0.1 ms.
 RESOLUTION_S = 0.0001
@@ -29,8 +27,7 @@
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
         self._sums: Counter[tuple[str, str]] = Counter()
         self._gauges: dict[str, Callable[[], dict[str, float]]] = {}
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
+        self._registry: CollectorRegistry | None = None
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Increments a counter."""
@@ -69,6 +66,12 @@
 
     def collect(self) -> Iterator[Metric]:
         """Yields all metrics; called by the Prometheus client."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            SummaryMetricFamily,
+        )
+
         counters: dict[str, CounterMetricFamily] = {}
         for (name, label), value in sorted(self._counters.items()):
             family = counters.setdefault(
@@ -104,7 +107,16 @@
             yield family
 
     def render(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
+        """Returns all metrics in the Prometheus text format.
+
+        The Prometheus client is imported on first use: it takes a twentieth of
+        the startup time, and a node listens before it is asked for metrics.
+        """
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        if self._registry is None:
+            self._registry = CollectorRegistry()
+            self._registry.register(self)
         return generate_latest(self._registry)
 
     def dump(self) -> dict[str, int]:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,6 +6,7 @@
 import yaml
 
 from guavalane_core.exceptions import ConfigurationError
+from guavalane_platform import settings
 from guavalane_platform.settings import parse_settings, to_gateway_settings
 
 VALID = {
@@ -59,3 +60,16 @@
         data = {**VALID, "InternalPorts": [7600]}
         with pytest.raises(ConfigurationError):
             parse_settings(yaml.safe_dump(data))
+
+
+class TestParser:
+    """Guards against a parser in C that reads settings differently."""
+
+    @pytest.mark.parametrize("loader", [yaml.SafeLoader, yaml.CSafeLoader])
+    def test_parsers_agree(self, loader, monkeypatch):
+        monkeypatch.setattr(settings, "_YAML_LOADER", loader)
+        read = parse_settings(yaml.safe_dump(VALID))
+        assert read.Bounds.QuotaSlack == 140000
+        assert read.InternalPorts == (7600, 7615)
+        with pytest.raises(ConfigurationError, match="invalid YAML"):
+            parse_settings("a: [")
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import textwrap
+from collections.abc import Callable
 
 import jinja2
 
@@ -22,6 +23,10 @@
     "configuration": CORE / "configuration/generated.py",
     "messages": CORE / "messages/generated.py",
 }
+# Messages with a type ID from this on, and what only they contain, are
+# generated as a module of their own: a gateway node needs no others.
+FIRST_GATEWAY_TYPE_ID = 50
+GATEWAY_MESSAGES = CORE / "messages/generated_gateway.py"
 REFERENCE = ROOT / "docs/user-guide/reference.md"
 SCALARS = {
     "string": ("str", "Text"),
@@ -243,13 +248,47 @@
         names[type_id] = cls["name"]
 
 
-def render(name: str) -> str:
-    """Returns the formatted module for one schema file."""
+def referenced_names(node: dict, definitions: dict) -> set[str]:
+    """Returns the names of the classes that a schema node consists of."""
+    if "$ref" in node:
+        name = node["$ref"]
+        return {name} | referenced_names(definitions[name], definitions)
+    children = [child for child in node.values() if isinstance(child, dict)]
+    return set().union(*(referenced_names(c, definitions) for c in children))
+
+
+def gateway_message_names(definitions: dict) -> set[str]:
+    """Returns the names of the messages between gateway nodes and their parts.
+
+    Raises:
+      ValueError: Another message has a part in common with them.
+    """
+    names, others = set(), set()
+    for name, node in definitions.items():
+        if "type_id" in node:
+            is_gateway = node["type_id"] >= FIRST_GATEWAY_TYPE_ID
+            group = names if is_gateway else others
+            group |= {name} | referenced_names(node, definitions)
+    if names & others:
+        raise ValueError(f"in two modules of messages: {names & others}")
+    return names
+
+
+def render(name: str, is_included: Callable[[str], bool] | None = None) -> str:
+    """Returns the formatted module for the classes of one schema file.
+
+    Args:
+      name: Name of the schema file.
+      is_included: Function that returns whether the module has a class; all by
+          default.
+    """
     schema = json.loads((ROOT / "schema" / f"{name}.json").read_text())
     classes = [
         class_variables(key, node) for key, node in schema["$defs"].items()
     ]
     check_unique_type_ids(classes)
+    if is_included is not None:
+        classes = [cls for cls in classes if is_included(cls["name"])]
     source = TEMPLATE.render(title=schema["title"], name=name, classes=classes)
     source = re.sub(r"\n{4,}", "\n\n\n", source)
     ruff = pathlib.Path(sys.executable).parent / "ruff"
@@ -274,6 +313,10 @@
     check = "--check" in sys.argv[1:]
     outdated = []
     sources = {path: render(name) for name, path in OUTPUTS.items()}
+    schema = json.loads((ROOT / "schema" / "messages.json").read_text())
+    names = gateway_message_names(schema["$defs"])
+    sources[OUTPUTS["messages"]] = render("messages", lambda n: n not in names)
+    sources[GATEWAY_MESSAGES] = render("messages", names.__contains__)
     sources[REFERENCE] = render_reference()
     for path, source in sources.items():
         if check:
