Limit requests to cold endpoints and leave out evacuated zones

Cause: ColdRemainingMs was only a tie-breaker that never ended, new endpoints got a full share of the load at once, and operators could not empty a zone.

Change: a service's ColdPerS is divided among nodes without messages, by the division that stated limits use (RateShares). An endpoint is cold for the time in its entry, counted from reading it, and for ColdStartS after its start if nodes had been serving before. Warm endpoints with a free slot are preferred; without any, requests beyond the rate are rejected as not run. Evacuations are a watched, urgent kind, read only if the settings state EvacuateMs; endpoints of such a zone get no new request, and the replica planner neither orders nor removes there.

--- a/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
+++ b/packages/guavalane-core/src/guavalane_core/fleet/replicas.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import attrs
 
@@ -151,7 +151,9 @@
 
     def __init__(self, replicas: Replicas, zones: Sequence[str]) -> None:
         self._replicas = replicas
-        self._zones = sorted(zones, key=self._price_key)
+        self._all_zones = sorted(zones, key=self._price_key)
+        # Zones in which endpoints may be ordered now.
+        self._zones = self._all_zones
         self._order_states: dict[tuple[str, bool], _OrderState] = {}
         self._enough_since_s: float | None = None
 
@@ -176,6 +178,7 @@
         on_trial: Sequence[Endpoint] | None = None,
         *,
         may_remove: bool = True,
+        evacuated: Collection[str] = (),
     ) -> list[ReplicaOrder]:
         """Returns the orders that are due.
 
@@ -187,9 +190,14 @@
           on_trial: Endpoints of another version during a version move; None
             without a move. Nothing is removed meanwhile.
           may_remove: Whether endpoints may be removed.
+          evacuated: Zones whose endpoints get no new request. Nothing is
+              ordered or removed there; replacements are ordered elsewhere.
         """
         self._note_reclaims(endpoints, now_s)
-        present = self._count(endpoints)
+        self._zones = [z for z in self._all_zones if z not in evacuated]
+        if not self._zones:
+            return []
+        present = self._count([e for e in endpoints if e.zone not in evacuated])
         needed = max(need.endpoints(), self._expected_endpoints(need))
         targets = self._targets(present, needed, now_s)
         if on_trial is not None or not may_remove:
--- a/packages/guavalane-core/src/guavalane_core/forwarding/configuration.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/configuration.py
@@ -121,12 +121,18 @@
           endpoint.
       engine: Model engine; None if the service has none.
       replicas: Bounds on endpoints, if the system scales the service.
+      cold_start_s: Time after its start for which an endpoint is cold while
+          there is traffic, in seconds.
+      cold_rate_per_s: Requests per second that a cold endpoint takes from all
+          nodes together; 0 for no such limit.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
     replicas: Replicas | None = None
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/guavalane-core/src/guavalane_core/forwarding/endpoint.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/endpoint.py
@@ -20,7 +20,8 @@
       reclaimable: Whether the platform can reclaim its VM.
       reclaim_s: Time until its VM is reclaimed, in seconds, according to the
           reclaim notice; None without a notice.
-      slow_s: Remaining time of reduced speed after its start, in seconds.
+      cold_s: Time for which it takes few requests, from the time at which its
+          entry is read, in seconds.
       started_ms: Unix time of its start in milliseconds; 0 if unknown.
     """
 
@@ -33,7 +34,7 @@
     leaving: bool = False
     reclaimable: bool = False
     reclaim_s: float | None = None
-    slow_s: float = 0.0
+    cold_s: float = 0.0
     started_ms: int = 0
 
     @property
--- a/packages/guavalane-core/src/guavalane_core/limits/endpoint_rates.py
+++ b/packages/guavalane-core/src/guavalane_core/limits/endpoint_rates.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Collection, Iterator, Mapping
 
 import attrs
-import xxhash
+
+from guavalane_core.limits.rate_shares import (
+    DividedRate,
+    RateShares,
+    choose_nodes,
+)
 
 # Requests that all nodes together may save while they send none, in addition to
 # one second of the limit. As each node that uses an endpoint can save one at
@@ -19,10 +23,6 @@
 # Time after which a limit is forgotten that no endpoint response has confirmed,
 # in seconds. The nodes that may use an endpoint hear from it more often.
 LIMIT_LIFETIME_S = 60.0
-# Interval at which the nodes that may use an endpoint are chosen again, in
-# seconds. Nodes come and go less often.
-CHOICE_PERIOD_S = 5.0
-NEVER_S = -math.inf
 
 
 @attrs.frozen
@@ -39,58 +39,6 @@
     stated_s: float
 
 
-class _Share:
-    """Part of an endpoint's limit that belongs to this node.
-
-    A new share starts with a random fraction of a request: all nodes learn of
-    the limit at the same time and would send their first request together.
-    """
-
-    def __init__(self, saved: float, now_s: float) -> None:
-        self._saved = saved
-        self._refilled_s = now_s
-        self._chosen_s = NEVER_S
-        self._rate_per_s = 0.0
-        self._max_saved = 1.0
-
-    def refill(self, now_s: float) -> None:
-        """Adds the requests that may be sent since the last call."""
-        inflow = self._rate_per_s * max(0.0, now_s - self._refilled_s)
-        self._refilled_s = now_s
-        self._saved = min(self._max_saved, self._saved + inflow)
-
-    def choose(self, rate_per_s: float, max_saved: float, now_s: float) -> None:
-        """Sets the share.
-
-        Args:
-          rate_per_s: Requests per second.
-          max_saved: Requests that may be saved while none is sent.
-          now_s: Monotonic time in seconds.
-        """
-        self._rate_per_s = rate_per_s
-        self._max_saved = max_saved
-        self._chosen_s = now_s
-
-    def is_chosen(self, now_s: float) -> bool:
-        """Returns whether the share is up to date."""
-        return now_s - self._chosen_s < CHOICE_PERIOD_S
-
-    def invalidate(self) -> None:
-        """Lets the share be chosen again."""
-        self._chosen_s = NEVER_S
-
-    def draw(self) -> None:
-        """Counts a request."""
-        self._saved -= 1.0
-
-    def wait_s(self) -> float:
-        """Returns the time until a request may be sent, in seconds."""
-        missing = 1.0 - self._saved
-        if missing <= 0:
-            return 0.0
-        return missing / self._rate_per_s if self._rate_per_s else math.inf
-
-
 def choose_users(
     endpoint: str, nodes: Collection[str], rate_per_s: float
 ) -> list[str]:
@@ -98,11 +46,7 @@
 
     The choice depends only on the arguments, so that nodes need not coordinate.
     """
-    count = int(rate_per_s) + EXTRA_SAVED_REQUESTS
-    return sorted(
-        nodes,
-        key=lambda n: xxhash.xxh3_64_intdigest(f"{endpoint}/{n}".encode()),
-    )[:count]
+    return choose_nodes(endpoint, nodes, int(rate_per_s) + EXTRA_SAVED_REQUESTS)
 
 
 class EndpointRateLimits:
@@ -118,10 +62,8 @@
     """
 
     def __init__(self, node: str, rng: random.Random) -> None:
-        self._node = node
-        self._rng = rng
         self._stated: dict[str, StatedLimit] = {}
-        self._shares: dict[str, _Share] = {}
+        self._shares = RateShares(node, rng)
 
     def observe(self, endpoint: str, limit: StatedLimit) -> bool:
         """Records what an endpoint stated; older statements are ignored.
@@ -136,9 +78,9 @@
             return False
         self._stated[endpoint] = limit
         if limit.rate_per_s is None:
-            self._shares.pop(endpoint, None)
-        elif endpoint in self._shares:
-            self._shares[endpoint].invalidate()
+            self._shares.forget(endpoint)
+        else:
+            self._shares.invalidate(endpoint)
         return known is None or known.rate_per_s != limit.rate_per_s
 
     def stated(self, now_s: float) -> Iterator[tuple[str, StatedLimit]]:
@@ -146,7 +88,7 @@
         for endpoint, limit in list(self._stated.items()):
             if now_s - limit.stated_s > LIMIT_LIFETIME_S:
                 del self._stated[endpoint]
-                self._shares.pop(endpoint, None)
+                self._shares.forget(endpoint)
             else:
                 yield endpoint, limit
 
@@ -181,37 +123,19 @@
             return 0.0
         if now_s - limit.stated_s > LIMIT_LIFETIME_S:
             return 0.0
-        share = self._shares.get(endpoint)
-        if share is None:
-            share = self._shares[endpoint] = _Share(self._rng.random(), now_s)
-        share.refill(now_s)
-        if not share.is_chosen(now_s):
-            self._choose(share, endpoint, limit.rate_per_s, nodes, now_s)
-        return share.wait_s()
-
-    def _choose(
-        self,
-        share: _Share,
-        endpoint: str,
-        stated_per_s: float,
-        nodes: Collection[str],
-        now_s: float,
-    ) -> None:
-        rate_per_s = max(MIN_RATE_PER_S, stated_per_s)
-        users = choose_users(endpoint, nodes, rate_per_s)
-        if self._node not in users:
-            share.choose(0.0, 0.0, now_s)
-            return
-        saved = max(1.0, (rate_per_s + EXTRA_SAVED_REQUESTS) / len(users))
-        share.choose(rate_per_s / len(users), saved, now_s)
+        rate_per_s = max(MIN_RATE_PER_S, limit.rate_per_s)
+        divided = DividedRate(
+            rate_per_s,
+            int(rate_per_s) + EXTRA_SAVED_REQUESTS,
+            rate_per_s + EXTRA_SAVED_REQUESTS,
+        )
+        return self._shares.wait_s(endpoint, divided, nodes, now_s)
 
     def draw(self, endpoint: str) -> None:
         """Counts a request that is sent to an endpoint."""
-        share = self._shares.get(endpoint)
-        if share is not None:
-            share.draw()
+        self._shares.draw(endpoint)
 
     def forget(self, endpoint: str) -> None:
         """Discards the limit of an endpoint that was removed or restarted."""
         self._stated.pop(endpoint, None)
-        self._shares.pop(endpoint, None)
+        self._shares.forget(endpoint)
--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -5,6 +5,7 @@
 from guavalane_core.placement.chooser import (
     Candidate,
     choose_endpoint,
+    prefer_warm,
     rank_engines,
     sample_endpoints,
     shortlist,
@@ -20,6 +21,7 @@
     "Work",
     "WorkTable",
     "choose_endpoint",
+    "prefer_warm",
     "rank_engines",
     "sample_endpoints",
     "shortlist",
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -40,11 +40,25 @@
       endpoint: Endpoint.
       load: Load from all nodes.
       cached_tokens: Prompt tokens that the endpoint is expected to have cached.
+      cold: Whether it takes few requests for some time.
     """
 
     endpoint: Endpoint
     load: Load
     cached_tokens: int = 0
+    cold: bool = False
+
+
+def prefer_warm(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Returns the candidates that are not cold while any of them has a slot.
+
+    Otherwise, all candidates are returned: a cold endpoint can take a few
+    requests while the others are full.
+    """
+    warm = [c for c in candidates if not c.cold]
+    if any(c.load.requests < c.endpoint.slots for c in warm):
+        return warm
+    return list(candidates)
 
 
 def rank_engines(
@@ -129,7 +143,7 @@
         candidates,
         key=lambda c: (
             c.load.requests / max(1, c.endpoint.slots),
-            c.endpoint.slow_s > 0,
+            c.cold,
             c.endpoint.zone != zone,
             c.endpoint.endpoint_id,
         ),
--- a/packages/guavalane-core/tests/test_replicas.py
+++ b/packages/guavalane-core/tests/test_replicas.py
@@ -45,6 +45,7 @@
         self.endpoints = {}
         self.booting = []
         self.no_capacity_until_s = -1.0
+        self.evacuated = set()
         self.orders = []
         self._names = itertools.count()
 
@@ -101,7 +102,10 @@
             read_tokens_per_s, 0.0, RATE, 64, self.allotted, load_age_s
         )
         plan = self.planner.plan(
-            list(self.endpoints.values()), need, self.now_s
+            list(self.endpoints.values()),
+            need,
+            self.now_s,
+            evacuated=self.evacuated,
         )
         for order in plan:
             self._carry_out(order)
@@ -263,6 +267,30 @@
             by_zone[endpoint.zone] += 1
         assert max(by_zone.values()) <= BOUNDS.maximum
 
+    def test_an_evacuated_zone_is_replaced_by_others(self):
+        model = self.start()
+        model.run(20, 160_000)
+        model.evacuated = {"zone-b", "zone-d"}
+        model.orders.clear()
+        model.run(BOUNDS.boot_s + 3, 160_000)
+        assert model.orders
+        assert not {o.zone for o in model.orders} & model.evacuated
+        used = [
+            e for e in model.endpoints.values() if e.zone not in model.evacuated
+        ]
+        needed = ReplicaNeed(160_000, 0.0, RATE, 64).endpoints()
+        assert len(used) >= min(needed, 2 * BOUNDS.maximum)
+
+    def test_the_evacuation_of_all_zones_orders_nothing(self):
+        model = self.start()
+        model.run(20, 100_000)
+        model.evacuated = set(ZONES)
+        model.orders.clear()
+        model.run(5, 100_000)
+        assert model.orders == []
+        model.evacuated = set()
+        assert model.run(20, 100_000) >= 1
+
     def test_without_reclaimable_endpoints_regular_ones_are_ordered(self):
         bounds = Replicas(1, 3, 4.0, None, BOUNDS.zone_prices)
         planner = ReplicaPlanner(bounds, ZONES)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -52,7 +52,7 @@
 
 
 class EndpointsLimitedError(RefusalError):
-    """The endpoints have reached the rate limits that they stated.
+    """The endpoints have reached the rate limits that they stated or are cold.
 
     Attributes:
       waits_s: Time until the limit of each endpoint admits a request of this
@@ -66,7 +66,8 @@
     ) -> None:
         super().__init__(
             f"{len(waits_s)} endpoints have reached the rate limits that they"
-            " stated, and no other one is free",
+            " stated or that hold while they are cold, and no other one is"
+            " free",
             retry_after_s,
         )
         self.waits_s = waits_s
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -280,7 +280,7 @@
         progress.last_connection = None
         now_s = self._now()
         view.ejector.on_dispatch(endpoint.endpoint_id, now_s)
-        view.endpoint_rates.draw(endpoint.endpoint_id)
+        view.draw_endpoint(endpoint.endpoint_id)
         prefill_tokens = self._prefill_tokens(candidate, now_s)
         work = view.work.start(endpoint.endpoint_id, prefill_tokens)
         view.record_sent(self._admitted.service.name, prefill_tokens)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -41,6 +41,7 @@
 )
 from guavalane_entry.gateway.endpoint_client import EndpointClient
 from guavalane_entry.gateway.endpoint_limits import EndpointLimits
+from guavalane_entry.gateway.evacuations import EvacuationSink
 from guavalane_entry.gateway.forwarder import Forwarder
 from guavalane_entry.gateway.listener import CallerListener, StatusListener
 from guavalane_entry.gateway.names import HeaderNames
@@ -111,6 +112,8 @@
       move_kind: Kind of the orders to move services to other versions.
       timers: Timer service.
       rng: Random number generator.
+      evacuation_kind: Kind of the objects that are named after the zones that
+          are evacuated; watched only if the settings state a time for it.
       is_first_start: Whether no process of any node has run before, whose
           retries would count.
     """
@@ -127,6 +130,7 @@
         timers: Timers,
         rng: random.Random | None = None,
         *,
+        evacuation_kind: str | None = None,
         is_first_start: bool = False,
     ) -> None:
         rng = rng or random.Random()
@@ -154,6 +158,7 @@
                 ),
             },
         )
+        self._view.use_live_peers(lambda: len(self._reports.live_peers()))
         self._endpoint_limits = EndpointLimits(
             self._view, timers, self._log, self._reports.send_to_all
         )
@@ -221,7 +226,10 @@
             rng,
         )
         self._watches = self._make_watches(
-            configuration_kind, endpoint_kind, move_kind
+            configuration_kind,
+            endpoint_kind,
+            move_kind,
+            evacuation_kind if settings.evacuation_s is not None else None,
         )
         self._copies = CopyReader(
             self._watches,
@@ -254,6 +262,7 @@
             context, self._reports, timers, self._incarnation
         )
         self._add_gauges()
+        self._created_s = timers.now()
         self._stopping = False
 
     @property
@@ -263,6 +272,7 @@
             not self._stopping
             and self._view.table is not None
             and self._watches["endpoints"].listed
+            and self._knows_evacuations()
         )
 
     async def start(self) -> None:
@@ -323,6 +333,14 @@
         self._log.event("node.stopped", left=self._callers.active)
         self._log.stop()
 
+    def _knows_evacuations(self) -> bool:
+        """Returns whether evacuations were listed, or could not be for long."""
+        watch = self._watches.get("evacuations")
+        limit_s = self._settings.evacuation_s
+        if watch is None or watch.listed or limit_s is None:
+            return True
+        return self._timers.now() - self._created_s > limit_s
+
     def _add_gauges(self) -> None:
         """Registers gauges of the node state."""
         view = self._view
@@ -353,6 +371,11 @@
             "endpoint_limit_requests_per_second": lambda: dict(
                 view.endpoint_rates.in_force(self._timers.now())
             ),
+            "cold_endpoints": lambda: {
+                service: len(left)
+                for service, left in view.cold_by_service().items()
+            },
+            "evacuated_zones": lambda: dict.fromkeys(view.evacuated, 1),
             "duties_fencing_number": lambda: {
                 "": self._duties.current_fencing_number()
             },
@@ -396,6 +419,7 @@
         configuration_kind: tuple[str, ConfigurationDecoder],
         endpoint_kind: tuple[str, EndpointDecoder],
         move_kind: MoveKind,
+        evacuation_kind: str | None,
     ) -> dict[str, KindWatch]:
         kinds = {
             "configuration": (
@@ -421,11 +445,18 @@
             ),
             "quarantines": (QUARANTINE_KIND, self._quarantine.sink),
         }
+        urgent = [configuration_kind[0], endpoint_kind[0]]
+        if evacuation_kind is not None:
+            kinds["evacuations"] = (
+                evacuation_kind,
+                EvacuationSink(self._view, self._log),
+            )
+            urgent.append(evacuation_kind)
         api = RelayedObjectApi(
             self._api,
             self._relay_link,
             self._relay_server,
-            (configuration_kind[0], endpoint_kind[0]),
+            urgent,
             self._timers,
         )
         availability = ApiAvailability()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/replica_duty.py
@@ -46,11 +46,20 @@
         need = self._need(service, proved, now_s)
         planner = self._planner(service, [e.zone for e in proved])
         limits = view.endpoint_rates.in_force(now_s)
-        is_limited = any(e.endpoint_id in limits for e in proved)
+        is_limited = any(
+            e.endpoint_id in limits
+            or (service.cold_rate_per_s and view.cold_left_s(service, e) > 0)
+            for e in proved
+        )
         # The platform removes the oldest endpoints first, which may be the
         # ones that take more requests.
         for order in planner.plan(
-            proved, need, now_s, on_trial, may_remove=not is_limited
+            proved,
+            need,
+            now_s,
+            on_trial,
+            may_remove=not is_limited,
+            evacuated=view.evacuated,
         ):
             await self._order(lease, service, planner, order, need)
 
@@ -96,7 +105,11 @@
             load_age_s=demand.load_age_s(now_s),
         )
         shortage = count_limited_shortage(
-            [e.endpoint_id for e in proved if not e.leaving],
+            [
+                e.endpoint_id
+                for e in proved
+                if not e.leaving and e.zone not in view.evacuated
+            ],
             view.endpoint_rates.in_force(now_s),
             need.endpoints(),
             rates.requests_per_s,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -8,6 +8,7 @@
 from guavalane_core.placement import (
     Candidate,
     choose_endpoint,
+    prefer_warm,
     rank_engines,
     sample_endpoints,
     shortlist,
@@ -71,8 +72,8 @@
     """
     return {
         endpoint.endpoint_id: wait_s
-        for endpoint in view.directory.usable(service.name)
-        if (wait_s := view.endpoint_wait_s(endpoint.endpoint_id)) > 0
+        for endpoint in view.usable_endpoints(service.name)
+        if (wait_s := view.endpoint_wait_s(service, endpoint)) > 0
     }
 
 
@@ -89,7 +90,7 @@
     now_s = view.timers.now()
     allowed = view.moves.allowed(
         service.name,
-        view.directory.usable(service.name),
+        view.usable_endpoints(service.name),
         view.rng.random(),
         route=route,
         now_s=now_s,
@@ -101,18 +102,23 @@
         for endpoint in allowed
         if endpoint.endpoint_id not in tried
         and _has_connection(view, service, endpoint)
-        and view.endpoint_wait_s(endpoint.endpoint_id) <= 0
+        and view.endpoint_wait_s(service, endpoint) <= 0
     ]
     held = view.ejector.held([e.endpoint_id for e in usable], now_s)
-    return [
-        _candidate(view, request, endpoint, now_s)
+    candidates = [
+        _candidate(view, service, request, endpoint, now_s)
         for endpoint in usable
         if endpoint.endpoint_id not in held
     ]
+    return prefer_warm(candidates) if service.cold_rate_per_s else candidates
 
 
 def _candidate(
-    view: NodeView, request: CallerRequest, endpoint: Endpoint, now_s: float
+    view: NodeView,
+    service: Service,
+    request: CallerRequest,
+    endpoint: Endpoint,
+    now_s: float,
 ) -> Candidate:
     cached = 0
     if request.prompt is not None:
@@ -120,7 +126,8 @@
             endpoint.endpoint_id, request.prompt, now_s
         )
     load = view.work.total(endpoint.endpoint_id, now_s)
-    return Candidate(endpoint, load, cached)
+    is_cold = view.cold_left_s(service, endpoint) > 0
+    return Candidate(endpoint, load, cached, is_cold)
 
 
 def _has_connection(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from guavalane_core.limits.cold_endpoints import ColdTolerance
 from guavalane_core.objects.relays import RelayCandidate
 
 MAX_PORT = 65_535
@@ -95,6 +96,10 @@
           may receive before its trial has succeeded.
       exposure_slack: Number of requests that it may receive in addition, on all
           nodes together.
+      cold: Tolerance of the rate of cold endpoints.
+      evacuation_s: Time from the order to evacuate a zone after which no
+          request may reach its endpoints, in seconds; None if zones are not
+          evacuated.
       lease_s: Duration of the lease on duties in seconds.
       stop_grace_s: Time from SIGTERM to SIGKILL in seconds.
       link_mbps: Rate of the network link in Mbit/s; 0 if unknown.
@@ -114,6 +119,8 @@
     usage_due_s: float = 10.0
     exposure: float = 0.1
     exposure_slack: float = 0.0
+    cold: ColdTolerance = attrs.field(factory=ColdTolerance)
+    evacuation_s: float | None = None
     lease_s: float = 3.0
     stop_grace_s: float = 8.0
     link_mbps: float = 0.0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Generic, TypeVar
 
@@ -26,6 +27,7 @@
 T = TypeVar("T")
 # Longest logged reason for ignoring an object, in characters.
 MAX_REASON_LENGTH = 500
+MS_PER_S = 1000
 # Larger sizes of a VM are taken for unknown.
 MAX_SIZE = 1e9
 EndpointDecoder = Callable[[StoredObject], Endpoint]
@@ -169,8 +171,10 @@
         After a return of the object API from a copy, an endpoint that has left
         is listed again. It is not used unless its entry is written again.
         """
+        may_be_old = False
         if self._is_restored:
             self._is_restored = False
+            may_be_old = True
             self._outdated = {
                 stored.name: stored.version
                 for stored in objects
@@ -181,8 +185,10 @@
             for stored in objects
             if self._outdated.get(stored.name) != stored.version
         ]
-        self._view.directory.replace_all(self._decode_all(current), self._now())
+        endpoints = self._decode_all(current, may_be_old=may_be_old)
+        self._view.directory.replace_all(endpoints, self._now())
         self._schedule_expiry()
+        self._view.serving.on_serving(self._now_ms())
 
     def _has_left(self, stored: StoredObject) -> bool:
         """Returns whether a listed endpoint was seen to leave."""
@@ -199,8 +205,10 @@
         """
         gone = self._view.directory.recently_removed
         kept = [stored for stored in objects if stored.name not in gone]
-        self._view.directory.merge(self._decode_all(kept), self._now())
+        endpoints = self._decode_all(kept, may_be_old=True)
+        self._view.directory.merge(endpoints, self._now())
         self._schedule_expiry()
+        self._view.serving.on_serving(self._now_ms())
 
     def apply(self, event: ObjectEvent) -> None:
         """Applies one change."""
@@ -212,7 +220,7 @@
             self._view.directory.remove(name, self._now())
             self._schedule_expiry()
         else:
-            self._on_listed(endpoint)
+            self._on_listed(endpoint, event.object.version)
             self._view.directory.put(endpoint)
 
     def on_api_lost(self) -> None:
@@ -226,14 +234,18 @@
     def _now(self) -> float:
         return self._view.timers.now()
 
-    def _decode_all(self, objects: list[StoredObject]) -> list[Endpoint]:
-        endpoints = [
-            endpoint
-            for stored in objects
-            if (endpoint := self._decode_or_none(stored)) is not None
-        ]
-        for endpoint in endpoints:
-            self._on_listed(endpoint)
+    def _now_ms(self) -> float:
+        return self._view.clock.now() * MS_PER_S
+
+    def _decode_all(
+        self, objects: list[StoredObject], *, may_be_old: bool
+    ) -> list[Endpoint]:
+        endpoints = []
+        for stored in objects:
+            endpoint = self._decode_or_none(stored)
+            if endpoint is not None:
+                endpoints.append(endpoint)
+                self._on_listed(endpoint, stored.version, may_be_old=may_be_old)
         return endpoints
 
     def _schedule_expiry(self) -> None:
@@ -252,9 +264,38 @@
     def _log_ignored(self, name: str, reason: str) -> None:
         self._log.event("endpoint.ignored", endpoint=name, reason=reason)
 
-    def _on_listed(self, endpoint: Endpoint) -> None:
+    def _observe_cold(
+        self, endpoint: Endpoint, version: str, *, may_be_old: bool
+    ) -> None:
+        """Notes for how long an endpoint is cold and logs if it becomes so."""
+        view = self._view
+        table = view.table
+        service = table and table.configuration.services.get(endpoint.service)
+        before_s = view.cold_left_s(service, endpoint) if service else 0.0
+        view.cold_endpoints.observe(
+            endpoint,
+            version,
+            self._now(),
+            self._now_ms(),
+            may_be_old=may_be_old,
+            is_new=view.serving.is_serving,
+        )
+        left_s = view.cold_left_s(service, endpoint) if service else 0.0
+        if left_s > 0 and before_s <= 0 and service.cold_rate_per_s:
+            self._log.event(
+                "endpoint.cold",
+                endpoint=endpoint.endpoint_id,
+                cold_s=round(left_s, 3),
+                stated_s=round(endpoint.cold_s, 3),
+                rate_per_s=service.cold_rate_per_s,
+            )
+
+    def _on_listed(
+        self, endpoint: Endpoint, version: str, *, may_be_old: bool = False
+    ) -> None:
         name = endpoint.endpoint_id
         known = self._view.directory.get(name)
+        self._observe_cold(endpoint, version, may_be_old=may_be_old)
         if known is not None and known.started_ms != endpoint.started_ms:
             # Cached prefixes and failures of the process before a restart no
             # longer apply.
@@ -348,8 +389,12 @@
     def _drop(self, name: str) -> None:
         self._view.peers.pop(name, None)
         self._view.relay_candidates.pop(name, None)
+        self._view.serving.on_removed(name)
 
     def _put(self, stored: StoredObject) -> None:
+        self._view.serving.on_listed(
+            stored.name, _time_of(stored.body.get("incarnation"))
+        )
         if stored.name == self._view.settings.name:
             return
         address = stored.body.get("address")
@@ -468,6 +513,12 @@
         self._log.event("move.ignored", name=name, reason=reason)
 
 
+def _time_of(value: Any) -> float:
+    """Returns a time in milliseconds since the epoch; 0 if it is not valid."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number and 0 <= value < math.inf else 0.0
+
+
 def _size_of(value: Any) -> float:
     """Returns a size that a node tells of its VM; 0 if it is not valid."""
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -4,20 +4,23 @@
 
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Set
 
 import attrs
 
 from guavalane_core.allotments import AllotmentLedger
 from guavalane_core.fleet.replica_demand import DemandTotals, ReplicaDemand
 from guavalane_core.forwarding import (
+    Endpoint,
     EndpointDirectory,
     ForwardingConfiguration,
     RouteDurations,
     RouteTable,
+    Service,
     SharedRetryBudget,
 )
 from guavalane_core.forwarding.stalls import EventGaps
+from guavalane_core.limits.cold_endpoints import ColdEndpoints
 from guavalane_core.limits.endpoint_rates import EndpointRateLimits
 from guavalane_core.moves.table import MoveTable
 from guavalane_core.objects.relays import RelayCandidate
@@ -27,6 +30,7 @@
 from guavalane_core.timers import Timers
 from guavalane_core.usage import MedianClock, UsageCounts
 from guavalane_entry.gateway.configuration_delays import ConfigurationDelays
+from guavalane_entry.gateway.serving_times import ServingTimes
 from guavalane_entry.gateway.settings import GatewaySettings
 from guavalane_entry.gateway.stop_deadline import StopDeadline
 from guavalane_entry.gateway.store_era import StoreEra
@@ -34,6 +38,8 @@
 # Fraction of the allotment tolerance that a node uses deliberately. The rest
 # covers use by other nodes that is not reported yet.
 USED_TOLERANCE_FRACTION = 0.5
+# Interval at which the nodes that are heard are counted again, in seconds.
+HEARD_PERIOD_S = 0.5
 # Settings that take effect on reload, without a restart.
 RELOADABLE_SETTINGS = frozenset(
     {"retries", "allotments", "usage_due_s", "stop_grace_s"}
@@ -79,6 +85,11 @@
         self._quarantines = QuarantineTable()
         self._digest_key = draw_digest_key()
         self._endpoint_rates = EndpointRateLimits(settings.name, rng)
+        self._cold_endpoints = ColdEndpoints(settings.name, rng, settings.cold)
+        self._serving = ServingTimes(math.isinf(self._started_s))
+        self._evacuated: Set[str] = frozenset()
+        self._count_live_peers: Callable[[], int] | None = None
+        self._heard = (-math.inf, 1.0)
         self._configuration_delays = ConfigurationDelays()
         self._durations = RouteDurations()
         self._event_gaps = EventGaps()
@@ -229,14 +240,107 @@
     def on_peers_listed(self) -> None:
         """Records that `peers` holds all nodes that are registered."""
         self._peers_listed = True
+        self._serving.on_nodes_listed()
 
-    def endpoint_wait_s(self, endpoint_id: str) -> float:
-        """Returns the time until an endpoint's limit admits a request."""
-        if not self._endpoint_rates.has_limit(endpoint_id):
+    @property
+    def cold_endpoints(self) -> ColdEndpoints:
+        """Endpoints that take few requests after their start."""
+        return self._cold_endpoints
+
+    @property
+    def serving(self) -> ServingTimes:
+        """Times since which nodes have been serving."""
+        return self._serving
+
+    @property
+    def evacuated(self) -> Set[str]:
+        """Zones whose endpoints get no new request."""
+        return self._evacuated
+
+    def update_evacuated(self, zones: Set[str]) -> None:
+        """Applies the zones that are evacuated."""
+        self._evacuated = frozenset(zones)
+
+    def use_live_peers(self, count: Callable[[], int]) -> None:
+        """Sets the function that returns how many peers are heard."""
+        self._count_live_peers = count
+
+    def usable_endpoints(self, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service that get new requests."""
+        usable = self._directory.usable(service)
+        if not self._evacuated:
+            return usable
+        return [e for e in usable if e.zone not in self._evacuated]
+
+    def cold_left_s(self, service: Service, endpoint: Endpoint) -> float:
+        """Returns the time for which an endpoint is still cold, in seconds."""
+        return self._cold_endpoints.remaining_s(
+            endpoint.endpoint_id,
+            service.cold_start_s if service.cold_rate_per_s else 0.0,
+            self._serving.since_ms,
+            self.timers.now(),
+        )
+
+    def cold_by_service(self) -> dict[str, list[str]]:
+        """Returns the usable cold endpoints of services with a cold rate."""
+        services = self._table.configuration.services if self._table else {}
+        return {
+            name: [
+                endpoint.endpoint_id
+                for endpoint in self.usable_endpoints(name)
+                if self.cold_left_s(service, endpoint) > 0
+            ]
+            for name, service in services.items()
+            if service.cold_rate_per_s
+        }
+
+    def endpoint_wait_s(self, service: Service, endpoint: Endpoint) -> float:
+        """Returns the time until an endpoint's limits admit a request."""
+        name = endpoint.endpoint_id
+        wait_s = 0.0
+        if self._endpoint_rates.has_limit(name):
+            wait_s = self._endpoint_rates.wait_s(
+                name, self._node_names(), self.timers.now()
+            )
+        if service.cold_rate_per_s:
+            wait_s = max(wait_s, self._cold_wait_s(service, endpoint))
+        return wait_s
+
+    def draw_endpoint(self, endpoint_id: str) -> None:
+        """Counts a request to an endpoint towards its limits."""
+        self._endpoint_rates.draw(endpoint_id)
+        self._cold_endpoints.draw(endpoint_id)
+
+    def _cold_wait_s(self, service: Service, endpoint: Endpoint) -> float:
+        name = endpoint.endpoint_id
+        left_s = self.cold_left_s(service, endpoint)
+        if left_s <= 0:
+            self._cold_endpoints.on_warm(name)
             return 0.0
-        return self._endpoint_rates.wait_s(
-            endpoint_id, [self.settings.name, *self.peers], self.timers.now()
+        wait_s = self._cold_endpoints.wait_s(
+            name,
+            service.cold_rate_per_s,
+            self._node_names() if self._peers_listed else (),
+            self.timers.now(),
+            self._heard_fraction(),
         )
+        # Another node may have room now if this one may not use the endpoint.
+        return wait_s if math.isinf(wait_s) else min(wait_s, left_s)
+
+    def _node_names(self) -> list[str]:
+        return [self.settings.name, *self.peers]
+
+    def _heard_fraction(self) -> float:
+        """Returns the fraction of the listed nodes that this node hears."""
+        if self._count_live_peers is None:
+            return 1.0
+        now_s = self.timers.now()
+        counted_s, fraction = self._heard
+        if now_s - counted_s >= HEARD_PERIOD_S:
+            heard = 1 + self._count_live_peers()
+            fraction = min(1.0, heard / self.node_count)
+            self._heard = (now_s, fraction)
+        return fraction
 
     def reload(self, settings: GatewaySettings) -> list[str]:
         """Applies changed settings.
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -40,7 +40,7 @@
     def test_fields(self):
         endpoint = decode_endpoint(stored(ENTRY))
         assert endpoint.endpoint_id == "i-1"
-        assert endpoint.slow_s == 1.5
+        assert endpoint.cold_s == 1.5
         assert endpoint.reclaimable
         assert not endpoint.leaving
         assert endpoint.started_ms == 1_700_000_000_000
@@ -117,6 +117,14 @@
         assert configuration.services["llm"].engine.slots == 64
         assert configuration.organisations[0].counts_tokens
 
+    def test_cold_limits_of_services(self):
+        (app, llm) = make_config(1)["Services"]
+        app = {**app, "ColdStartS": 8, "ColdPerS": 2.5}
+        services = self.decode(make_config(1, Services=[app, llm])).services
+        assert services["app"].cold_start_s == 8.0
+        assert services["app"].cold_rate_per_s == 2.5
+        assert services["llm"].cold_rate_per_s == 0.0
+
     def test_missing_and_empty_tenants_differ(self):
         body = make_config(1)
         del body["Tenants"]
@@ -131,6 +139,12 @@
             {"Routes": [{**make_config(1)["Routes"][0], "Kind": "other"}]},
             {"Services": [{"Name": "app"}]},
             {"Limits": {"MaxHeaderBytes": "many"}},
+            {"Services": [{**make_config(1)["Services"][0], "ColdPerS": -1}]},
+            {
+                "Services": [
+                    {**make_config(1)["Services"][0], "ColdStartS": "8"}
+                ]
+            },
         ],
     )
     def test_invalid_fields_are_rejected(self, changes):
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -22,6 +22,7 @@
     Deployment,
     make_config,
 )
+from guavalane_platform_standins.endpoint import EndpointServer
 from guavalane_standins.log_schema import load_log_schema
 
 # Time limit of the operators for applying a configuration, in seconds.
@@ -225,6 +226,88 @@
             assert (await deployment.call(node, "/once/x"))[0] == 200
 
 
+class TestEvacuation:
+    """Guards against requests to a zone that the operators evacuate."""
+
+    async def call_all(self, deployment, count=6):
+        """Sends requests to each node; returns the statuses."""
+        return {
+            (await deployment.call(node, "/look/x"))[0]
+            for node in deployment.nodes
+            for _ in range(count)
+        }
+
+    async def test_every_node_stops_sending_to_the_zone(self):
+        async with Deployment(3, {"EvacuateMs": 5000}) as deployment:
+            left = await deployment.add_endpoint("i-a", "app")
+            other = EndpointServer("i-b")
+            await deployment.register_endpoint(other, "app", Zone="zone-b")
+            await asyncio.sleep(0.3)
+            # One node learns of it from the copies of the others only.
+            deployment.store.faults.refused_callers = {deployment.nodes[2].ip}
+            deployment.evacuate("zone-a")
+            await asyncio.sleep(APPLY_LIMIT_S + 1.0)
+            before = len(left.executions)
+            assert await self.call_all(deployment) == {200}
+            assert len(left.executions) == before
+            assert len(other.executions) >= 18
+            deployment.store.faults.status = 503
+            await asyncio.sleep(1.0)
+            assert await self.call_all(deployment) == {200}
+            assert len(left.executions) == before
+            deployment.store.faults.status = None
+            deployment.store.faults.refused_callers = set()
+            deployment.end_evacuation("zone-a")
+            await asyncio.sleep(CONTACT_LIMIT_S)
+            assert await self.call_all(deployment) == {200}
+            assert len(left.executions) > before
+            for node in deployment.nodes:
+                assert find_schema_violations(node) == []
+
+    async def test_without_the_setting_the_kind_is_not_read(self):
+        async with Deployment(1) as deployment:
+            await deployment.add_endpoint("i-a", "app")
+            deployment.evacuate("zone-a")
+            await asyncio.sleep(0.5)
+            assert (await deployment.call(deployment.nodes[0], "/once/x"))[
+                0
+            ] == 200
+            paths = {path for _, path in deployment.store.calls}
+            assert not any("evacuations" in path for path in paths)
+
+
+class TestColdEndpoints:
+    """Guards against a cold endpoint that gets more than its rate."""
+
+    RATE_PER_S = 2.0
+
+    async def test_all_nodes_together_keep_the_rate(self):
+        app, llm = make_config(1)["Services"]
+        services = [
+            {**app, "ColdStartS": 30, "ColdPerS": self.RATE_PER_S},
+            llm,
+        ]
+        async with Deployment(3) as deployment:
+            config = make_config(8, Services=services)
+            deployment.store.put("config", "main", config)
+            await asyncio.sleep(APPLY_LIMIT_S)
+            cold = await deployment.add_endpoint("i-cold", "app", cold_s=30.0)
+            await asyncio.sleep(0.5)
+            statuses = []
+            for number in range(60):
+                node = deployment.nodes[number % 3]
+                statuses.append((await deployment.call(node, "/once/x"))[0])
+                if number == 30:
+                    node.end()
+                    node.start()
+                    await deployment.wait_ready(node)
+                await asyncio.sleep(0.05)
+            assert set(statuses) == {200, 503}
+            assert statuses.count(200) == len(cold.executions) >= 2
+            # Bound of the operators with the default tolerance.
+            assert cold.busiest_second() <= 1.5 * self.RATE_PER_S + 5
+
+
 class TestStop:
     """Guards against requests interrupted by a planned stop."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -59,3 +59,20 @@
         data = {**VALID, "InternalPorts": [7600]}
         with pytest.raises(ConfigurationError):
             parse_settings(yaml.safe_dump(data))
+
+    def test_evacuations_need_a_stated_time(self):
+        settings = to_gateway_settings(parse_settings(yaml.safe_dump(VALID)))
+        assert settings.evacuation_s is None
+        assert (settings.cold.ratio, settings.cold.slack) == (1.5, 5.0)
+        bounds = {"ColdOver": 1.2, "ColdSlack": 3, "EvacuateMs": 5000}
+        data = {**VALID, "Bounds": bounds}
+        settings = to_gateway_settings(parse_settings(yaml.safe_dump(data)))
+        assert settings.evacuation_s == 5.0
+        assert (settings.cold.ratio, settings.cold.slack) == (1.2, 3.0)
+
+    @pytest.mark.parametrize(
+        "bounds", [{"ColdOver": 0.5}, {"ColdSlack": -1}, {"EvacuateMs": "x"}]
+    )
+    def test_odd_bounds_are_rejected(self, bounds):
+        with pytest.raises(ConfigurationError):
+            parse_settings(yaml.safe_dump({**VALID, "Bounds": bounds}))
