Read the entries of other nodes in batches

Until it follows a relay, a node polls the store for the kind `nodes`, and the entry of each node that starts ended the polls of all others at once. By count with a fake store, 70 nodes that register over 4 s made 4,970 polls of that kind within 5 s.

After a response with changes, a node now waits 0.5 s before the next poll of this kind; the first change after a quiet time still comes at once. A relay that comes into reach during the wait is used. The same start takes 700 polls, and each node is known to all within 1 s.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -427,6 +427,7 @@
             self._relay_server,
             (configuration_kind[0], endpoint_kind[0]),
             self._timers,
+            (NODE_KIND,),
         )
         availability = ApiAvailability()
         return {
--- a/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection
 
 from guavalane_core.exceptions import ObjectApiError, WatchGapError
@@ -16,6 +17,10 @@
 MAX_URGENT_WAIT_S = 1.6
 # The same on a relay, whose data must reach its followers before it is too old.
 MAX_RELAY_WAIT_S = 1.0
+# Time from a response with changes to the next poll of a batched kind, in
+# seconds. When all nodes of a fleet start, the entry of each would otherwise
+# end the polls of all others at once. A node has to be known within about 1 s.
+BATCH_PAUSE_S = 0.5
 # Wait of a poll that only reads existing changes.
 MIN_WAIT_S = 0.001
 
@@ -31,6 +36,8 @@
       server: Server for the followers of this node.
       urgent: Kinds whose changes must not be delayed.
       timers: Timer service.
+      batched: Kinds whose changes are read from the object API in batches. The
+          first change after a time without any is not delayed.
     """
 
     def __init__(
@@ -40,12 +47,16 @@
         server: RelayServer,
         urgent: Collection[str],
         timers: Timers,
+        batched: Collection[str] = (),
     ) -> None:
         self._api = api
         self._link = link
         self._server = server
         self._urgent = urgent
         self._timers = timers
+        self._batched = batched
+        # Time of the last response with changes, by batched kind.
+        self._changed_s: dict[str, float] = {}
         # Start of the last list of this node by kind.
         self._listed_s: dict[str, float] = {}
 
@@ -77,8 +88,19 @@
             if batch.events or left_s <= 0:
                 return batch
             await self._link.wait(kind, left_s, urgent=urgent)
+        pause_s = self._pause_s(kind)
+        if pause_s > 0:
+            await self._timers.sleep(pause_s)
+            # A relay may provide the changes by now.
+            left_s = max(MIN_WAIT_S, wait_s - pause_s)
+            return await self.poll(kind, version, left_s)
         return await self._poll_directly(kind, version, wait_s)
 
+    def _pause_s(self, kind: str) -> float:
+        """Returns the time until a kind may be polled, in seconds."""
+        due_s = self._changed_s.get(kind, -math.inf) + BATCH_PAUSE_S
+        return due_s - self._timers.now()
+
     def _is_direct(self) -> bool:
         return self._server.followers > 0 or self._link.is_relay()
 
@@ -99,5 +121,7 @@
         except ObjectApiError:
             self._server.mark_unavailable(kind)
             raise
+        if batch.events and kind in self._batched:
+            self._changed_s[kind] = self._timers.now()
         self._server.publish(kind, version, batch)
         return batch
