Decode the lists in reports by column

A node of a large fleet receives 64 node reports a second. Decoding one of 843 B (5 endpoints, 16 allotments, 36 usage counts in every second one) took 234 us, most of it a call per field and a map per item.

Lists of messages with plain fields are now checked by column, with one comparison of types for each field, and usage counts are applied as they are decoded. Other lists are decoded as before, and invalid ones are still reported by path.

--- a/packages/guavalane-core/src/guavalane_core/messages/codec.py
+++ b/packages/guavalane-core/src/guavalane_core/messages/codec.py
@@ -93,6 +93,8 @@
         item, options.Section
     ):
         return option.converter()
+    if all(field.plain_type for field in item.cls.OPTIONS.values()):
+        return _plain_items_decoder(item.cls)
     decode_item = _message_decoder(item.cls)
 
     def decode_items(value: Any) -> Any:
@@ -103,6 +105,47 @@
     return decode_items
 
 
+def _plain_items_decoder(cls: type) -> Callable[[Any], Any]:
+    """Returns the decoder of a list of messages whose fields are all plain.
+
+    Reports consist mostly of such lists. Checking them by column takes a third
+    of the time of a call per field.
+    """
+    fields = tuple(cls.OPTIONS.values())
+    build = _positional(cls)
+
+    def decode_items(value: Any) -> Any:
+        if type(value) is not list:
+            raise options.MismatchError
+        if not value:
+            return ()
+        if {*map(type, value)} != {list}:
+            raise options.MismatchError
+        try:
+            columns = list(zip(*value, strict=True))
+        except ValueError:
+            raise options.MismatchError from None
+        if len(columns) != len(fields):
+            raise options.MismatchError
+        for field, column in zip(fields, columns, strict=True):
+            if {*map(type, column)} != {field.plain_type}:
+                raise options.MismatchError
+            if not field.accepts_negative and min(column) < 0:
+                raise options.MismatchError
+        return tuple(map(build, *columns))
+
+    return decode_items
+
+
+def _positional(cls: type) -> Callable[..., Any]:
+    """Returns a function that makes a message from its fields in order."""
+    names = ", ".join(cls.OPTIONS)
+    arguments = ", ".join(f"{name}={name}" for name in cls.OPTIONS)
+    # The names are those of the schema. A map of them for each message would
+    # take as long as the rest of the decoding.
+    return eval(f"lambda {names}: cls({arguments})", {"cls": cls})
+
+
 def _fields_to_map(cls: type, fields: list[Any]) -> dict[str, Any]:
     if not isinstance(fields, list) or len(fields) != len(cls.OPTIONS):
         raise MessageError(
--- a/packages/guavalane-core/src/guavalane_core/schema/options.py
+++ b/packages/guavalane-core/src/guavalane_core/schema/options.py
@@ -38,6 +38,19 @@
         self.required = required
         self.secret = secret
 
+    @property
+    def plain_type(self) -> type | None:
+        """Type of which all values match, negative numbers excepted.
+
+        None if other values match as well, or if not all of them match.
+        """
+        return None
+
+    @property
+    def accepts_negative(self) -> bool:
+        """Whether negative numbers of the plain type match."""
+        return True
+
     def validate(self, value: Any, path: str, errors: list[str]) -> Any:
         """Returns the typed value; appends a message for each error."""
         raise NotImplementedError
@@ -93,6 +106,11 @@
         if pattern:
             self.expected += f" that matches {pattern}"
 
+    @property
+    def plain_type(self) -> type | None:
+        """Type of which all values match."""
+        return None if self._min_length or self._pattern else str
+
     def validate(self, value: Any, path: str, errors: list[str]) -> Any:
         """Returns the string."""
         if (
@@ -121,6 +139,11 @@
 
     expected = "bytes"
 
+    @property
+    def plain_type(self) -> type | None:
+        """Type of which all values match."""
+        return bytes
+
     def validate(self, value: Any, path: str, errors: list[str]) -> Any:
         """Returns the bytes."""
         if not isinstance(value, bytes):
@@ -133,6 +156,11 @@
 
     expected = "true or false"
 
+    @property
+    def plain_type(self) -> type | None:
+        """Type of which all values match."""
+        return bool
+
     def validate(self, value: Any, path: str, errors: list[str]) -> Any:
         """Returns the boolean."""
         if not isinstance(value, bool):
@@ -190,6 +218,17 @@
     noun = "an integer"
     types = (int,)
 
+    @property
+    def plain_type(self) -> type | None:
+        """Type of which all values match, negative numbers excepted."""
+        is_plain = self._minimum in (None, 0) and self._maximum is None
+        return int if is_plain else None
+
+    @property
+    def accepts_negative(self) -> bool:
+        """Whether negative numbers match."""
+        return self._minimum is None
+
     def converter(self) -> Converter:
         """Returns a function that converts one value without error details."""
         if self._minimum != 0 or self._maximum is not None:
--- a/packages/guavalane-core/src/guavalane_core/usage/counts.py
+++ b/packages/guavalane-core/src/guavalane_core/usage/counts.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from guavalane_core.messages import WindowUsage
+
 # A window's usage report is due two windows after its end, and a new holder of
 # the reporting duty may take over later than that.
 RETAINED_WINDOWS = 8
@@ -75,7 +77,10 @@
                 yield WindowCount(window, organisation, requests)
 
     def report(
-        self, node: str, incarnation: int, counts: Iterable[WindowCount]
+        self,
+        node: str,
+        incarnation: int,
+        counts: Iterable[WindowCount | WindowUsage],
     ) -> None:
         """Replaces the totals of another process for the reported windows."""
         known = self._others.setdefault((node, incarnation), {})
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reports.py
@@ -374,14 +374,7 @@
         loads = loads_from_messages(report.work)
         view.work.report(node, loads, now_s + self._peer_timeout_s())
         self._allotments.receive_node_report(report)
-        view.usage.report(
-            node,
-            report.incarnation,
-            [
-                WindowCount(u.window, u.organisation, u.requests)
-                for u in report.usage
-            ],
-        )
+        view.usage.report(node, report.incarnation, report.usage)
         for sent in report.demand:
             view.demand(sent.service).report(
                 node,
