--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -458,6 +458,7 @@
             self._relay_server,
             urgent,
             self._timers,
+            (NODE_KIND,),
         )
         availability = ApiAvailability()
         return {
