Share the race of hedged attempts and limit them per route

The chat path raced two attempts inside RetryRules, where the gateway could not use it. The race is now HedgedRace in guavalane_entry, the decision and the limit are plain classes in guavalane_core.hedging. Routes get hedge_percent; its default of 100 leaves the retry budget as the only limit, as before.

--- a/packages/guavalane-core/src/guavalane_core/configuration/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/configuration/generated.py
@@ -69,6 +69,9 @@
       stall_ms: Time without progress after which an attempt is abandoned, in
           milliseconds.
       retry_percent: Retries allowed, in per cent of requests.
+      hedge_percent: Second attempts allowed for slow requests of class
+          `idempotent`, in per cent of requests and within the retry budget; 0
+          for none.
     """
 
     kind: str
@@ -82,6 +85,7 @@
     target_ms: int = 650
     stall_ms: int = 5000
     retry_percent: float = 10.0
+    hedge_percent: float = 100.0
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "kind": options.Choice(
@@ -111,6 +115,7 @@
             minimum=10, maximum=3600000, required=False
         ),
         "retry_percent": options.Number(minimum=0, maximum=100, required=False),
+        "hedge_percent": options.Number(minimum=0, maximum=100, required=False),
     }
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/retrying.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/retrying.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -14,10 +13,16 @@
     NoEndpointError,
     OutcomeUnknownError,
 )
+from guavalane_core.hedging import (
+    HedgeBudget,
+    HedgeSituation,
+    Suppression,
+    find_suppression,
+)
 from guavalane_core.limits import Backoff, RetryBudget
 from guavalane_core.requests import RequestContext
-from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import Timers
+from guavalane_entry.hedged_race import Entrant, HedgedRace
 from guavalane_entry.metrics import Metrics
 
 MAX_ATTEMPTS = 4
@@ -34,9 +39,10 @@
 
 
 class _Hedging:
-    """Hedging delay of a route."""
+    """Hedging delay and limit of a route."""
 
     def __init__(self) -> None:
+        self.budget = HedgeBudget(0.0)
         self.answers = 0
         self.delay_s = 0.0
         self.refreshed_s = float("-inf")
@@ -72,6 +78,7 @@
     def begin(self, request: RequestContext) -> None:
         """Credits a new request to its retry budget."""
         self._budget_of(request).on_request()
+        self._hedging_of(request).budget.on_request()
 
     def check_deadline(self, request: RequestContext) -> None:
         """Checks the deadline of a request.
@@ -153,7 +160,8 @@
         """Runs an attempt and hedges it with a second one if it is slow.
 
         Only calls of class `idempotent` are hedged, after the p95 latency of
-        their route. The hedge is charged to the retry budget.
+        their route. The hedge is charged to the retry budget, and to the
+        route's limit of hedged attempts.
 
         Args:
           request: Request.
@@ -178,37 +186,48 @@
         attempt: Callable[[], Awaitable[T]],
         delay_s: float,
     ) -> T:
-        running = {asyncio.ensure_future(attempt())}
-        timer = asyncio.ensure_future(self._timers.sleep(delay_s))
-        failure: Exception | None = None
-        try:
-            await asyncio.wait(
-                {*running, timer}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if timer.done() and self._try_spend(request):
-                self._metrics.count("hedges", request.route_name)
-                running.add(asyncio.ensure_future(attempt()))
-            while running:
-                done, running = await asyncio.wait(
-                    running, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    error = task.exception()
-                    if error is None:
-                        return task.result()
-                    # An endpoint's failure takes precedence over a hedge that
-                    # found no endpoint.
-                    if failure is None or isinstance(failure, NoEndpointError):
-                        failure = error
-            raise failure
-        finally:
-            await cancel_tasks(timer, *running)
+        async def run(entrant: Entrant) -> T:
+            result = await attempt()
+            await entrant.claim()
+            return result
+
+        race = HedgedRace(
+            self._timers,
+            delay_s,
+            lambda: run if self._try_hedge(request) else None,
+        )
+        ended = await race.run(run)
+        failures = [task.exception() for task in ended]
+        if None in failures:
+            return ended[failures.index(None)].result()
+        # An endpoint's failure takes precedence over a hedge that found no
+        # endpoint.
+        for error in failures:
+            if not isinstance(error, NoEndpointError):
+                raise error
+        raise failures[0]
+
+    def _try_hedge(self, request: RequestContext) -> bool:
+        """Charges a hedged attempt; returns whether it may be made."""
+        state = self._hedging_of(request)
+        # The retry budget is charged only if nothing else forbids the attempt.
+        reason = find_suppression(
+            HedgeSituation(hedge_limit_left=state.budget.may_spend())
+        )
+        if reason is None and not self._try_spend(request):
+            reason = Suppression.RETRY_BUDGET
+        if reason is not None:
+            self._metrics.count("hedges_suppressed", reason.value)
+            return False
+        state.budget.spend()
+        self._metrics.count("hedges", request.route_name)
+        return True
 
     def _hedge_delay_s(self, request: RequestContext) -> float:
         if request.route.request_class != "idempotent":
             return 0.0
-        state = self._hedging.get(request.route_name)
-        if state is None or state.answers < HEDGE_MIN_ANSWERS:
+        state = self._hedging_of(request)
+        if state.answers < HEDGE_MIN_ANSWERS:
             return 0.0
         now = self._timers.now()
         if now - state.refreshed_s >= HEDGE_REFRESH_S:
@@ -218,10 +237,15 @@
             )
         return state.delay_s
 
+    def _hedging_of(self, request: RequestContext) -> _Hedging:
+        state = self._hedging.setdefault(request.route_name, _Hedging())
+        state.budget.set_limit(request.route.hedge_percent / 100)
+        return state
+
     def _record_answer_time(
         self, request: RequestContext, seconds: float
     ) -> None:
-        state = self._hedging.setdefault(request.route_name, _Hedging())
+        state = self._hedging_of(request)
         state.answers += 1
         self._metrics.record("answer", request.route_name, seconds)
 
