--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -41,6 +41,34 @@
         settings = to_gateway_settings(parse_settings(yaml.safe_dump(data)))
         assert settings.stop_grace_s == 8.0
 
+    @pytest.mark.parametrize(
+        ("changes", "max_extra"),
+        [
+            ({}, 0.0),
+            ({"Bounds": {"HedgeShare": 0.02}}, 0.02),
+            ({"hedging": {"max_extra": 0.01}}, 0.01),
+            (
+                {
+                    "Bounds": {"HedgeShare": 0.02},
+                    "hedging": {"max_extra": 0.0},
+                },
+                0.0,
+            ),
+        ],
+    )
+    def test_the_limit_of_hedged_attempts(self, changes, max_extra):
+        text = yaml.safe_dump({**VALID, **changes})
+        settings = to_gateway_settings(parse_settings(text))
+        assert settings.hedges.max_extra == max_extra
+
+    def test_a_share_above_one_is_rejected(self):
+        for changes in (
+            {"Bounds": {"HedgeShare": 2}},
+            {"hedging": {"max_extra": 2}},
+        ):
+            with pytest.raises(ConfigurationError):
+                parse_settings(yaml.safe_dump({**VALID, **changes}))
+
     def test_all_mistakes_are_reported_together(self):
         data = {**VALID, "Zone": 7, "Listen": {"Frontend": "x"}}
         del data["NodeName"]
