Explain the selection of an endpoint with the code that selects

Adds the gateway's read-only path /where on the metrics listener. It makes the decision on a copy of what a decision uses up (NodeView.copy_for_preview), so that no units, random numbers or limits are drawn.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/routes.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/routes.py
@@ -52,6 +52,13 @@
         """Returns the organisation that holds a key."""
         return self._organisations.get(key) if key else None
 
+    def named_organisation(self, name: str) -> Organisation | None:
+        """Returns the organisation with this name."""
+        for organisation in self._configuration.organisations or ():
+            if organisation.name == name:
+                return organisation
+        return None
+
     def choose_service(self, route: Route, rng: random.Random) -> str | None:
         """Returns a service of the route, chosen at random by weight."""
         shares = [share for share in route.shares if share.weight > 0]
--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -5,6 +5,8 @@
 from guavalane_core.placement.chooser import (
     Candidate,
     choose_endpoint,
+    cost_endpoint,
+    cost_engines,
     rank_engines,
     sample_endpoints,
     shortlist,
@@ -20,6 +22,8 @@
     "Work",
     "WorkTable",
     "choose_endpoint",
+    "cost_endpoint",
+    "cost_engines",
     "rank_engines",
     "sample_endpoints",
     "shortlist",
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -70,15 +70,35 @@
       home: Home endpoint of the prompt. If None, it is computed from the
           candidates.
     """
-    home = home or _find_home(candidates, prompt)
     ranked = [
-        (_engine_cost(c, c is home, prompt, engine, rates, zone), c)
-        for c in candidates
+        (sum(terms.values()), candidate)
+        for terms, candidate in cost_engines(
+            candidates, prompt, engine, rates, zone, home
+        )
     ]
     ranked.sort(key=lambda pair: pair[0])
     return ranked
 
 
+def cost_engines(
+    candidates: Sequence[Candidate],
+    prompt: Prompt,
+    engine: Engine,
+    rates: EngineRates,
+    zone: str,
+    home: Candidate | None = None,
+) -> list[tuple[dict[str, float], Candidate]]:
+    """Returns the candidates with the terms of their cost in seconds, by name.
+
+    The cost is the sum of the terms. The arguments are those of `rank_engines`.
+    """
+    home = home or _find_home(candidates, prompt)
+    return [
+        (_engine_cost(c, c is home, prompt, engine, rates, zone), c)
+        for c in candidates
+    ]
+
+
 def shortlist(
     candidates: Sequence[Candidate], prompt: Prompt, rng: random.Random
 ) -> tuple[list[Candidate], Candidate | None]:
@@ -125,15 +145,22 @@
     """
     if not candidates:
         return None
-    return min(
-        candidates,
-        key=lambda c: (
-            c.load.requests / max(1, c.endpoint.slots),
-            c.endpoint.slow_s > 0,
-            c.endpoint.zone != zone,
-            c.endpoint.endpoint_id,
-        ),
-    )
+    return min(candidates, key=lambda c: tuple(cost_endpoint(c, zone).values()))
+
+
+def cost_endpoint(candidate: Candidate, zone: str) -> dict[str, float | str]:
+    """Returns what candidates without an engine are compared by.
+
+    Returns:
+      Terms by name; each one decides only if those before it are equal.
+    """
+    endpoint = candidate.endpoint
+    return {
+        "load_per_slot": candidate.load.requests / max(1, endpoint.slots),
+        "starting": endpoint.slow_s > 0,
+        "other_zone": endpoint.zone != zone,
+        "endpoint": endpoint.endpoint_id,
+    }
 
 
 def _engine_cost(
@@ -143,7 +170,7 @@
     engine: Engine,
     rates: EngineRates,
     zone: str,
-) -> float:
+) -> dict[str, float]:
     load = candidate.load
     cached = candidate.cached_tokens
     if is_home:
@@ -151,14 +178,15 @@
             cached, int(HOME_CACHED_FRACTION * _shareable_tokens(prompt))
         )
     uncached = max(0, prompt.input_tokens - cached)
-    cost_s = (load.prefill_tokens + uncached) / rates.prefill_tokens_per_s
-    cost_s += RUNNING_REQUEST_COST_S * load.requests
-    waiting = load.requests + 1 - engine.slots
-    if waiting > 0:
-        cost_s += waiting * rates.run_s / engine.slots
-    if candidate.endpoint.zone != zone:
-        cost_s += CROSS_ZONE_COST_S
-    return cost_s
+    waiting = max(0, load.requests + 1 - engine.slots)
+    is_local = candidate.endpoint.zone == zone
+    return {
+        "prefill": (load.prefill_tokens + uncached)
+        / rates.prefill_tokens_per_s,
+        "running": RUNNING_REQUEST_COST_S * load.requests,
+        "slot_wait": waiting * rates.run_s / engine.slots,
+        "other_zone": 0.0 if is_local else CROSS_ZONE_COST_S,
+    }
 
 
 def _shareable_tokens(prompt: Prompt) -> int:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -119,7 +119,7 @@
                 model=model,
                 input_tokens=input_tokens,
                 max_output_tokens=output_tokens,
-                parts=_read_parts(values.get(names.prompt_parts.lower(), "")),
+                parts=read_parts(values.get(names.prompt_parts.lower(), "")),
                 likely_output_tokens=None if hint is None else int(hint),
             )
         except ValueError:
@@ -185,7 +185,12 @@
     return key.strip() if given.lower() == scheme.lower() else None
 
 
-def _read_parts(text: str) -> tuple[PromptPart, ...]:
+def read_parts(text: str) -> tuple[PromptPart, ...]:
+    """Parses prompt parts of the form `ID:TOKENS,ID:TOKENS`.
+
+    Raises:
+      ValueError: A number of tokens is not an integer.
+    """
     parts = []
     for entry in text.split(","):
         if entry.strip():
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -11,6 +11,8 @@
     CallerRequest,
     Decision,
     Endpoint,
+    Route,
+    Service,
     decide_next,
 )
 from guavalane_core.placement import Candidate
@@ -32,6 +34,7 @@
 from guavalane_entry.gateway.errors import (
     NoEndpointError,
     OutcomeUnknownError,
+    RefusalError,
     ResponseTimeoutError,
 )
 from guavalane_entry.gateway.hedging import RequestHedging
@@ -43,6 +46,7 @@
     ResponseForwarder,
 )
 from guavalane_entry.gateway.selection import limit_waits_s, select_endpoint
+from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.hedged_race import Attempt, Entrant, HedgedRace
 from guavalane_entry.http_connection import ResponseIdentity
 
@@ -58,6 +62,38 @@
 MAX_URGENCY = 9
 
 
+def can_end_before_stop(
+    view: NodeView, route: Route, expected_tokens: int
+) -> bool:
+    """Returns whether an attempt can end before the node stops.
+
+    It is true if nothing is known of the duration of such requests.
+
+    Args:
+      view: Shared state of the node.
+      route: Route of the request.
+      expected_tokens: Number of output tokens that are still expected.
+    """
+    left_s = view.stop_deadline.left_s
+    if math.isinf(left_s):
+        return True
+    estimate_s = view.durations.estimate_s(route.name, expected_tokens)
+    return left_s > max(MIN_ATTEMPT_TIME_S, estimate_s or 0.0)
+
+
+def make_unplaced_error(
+    view: NodeView, service: Service, outcome: AttemptOutcome
+) -> RefusalError:
+    """Returns the rejection of a request that no endpoint has taken."""
+    waits_s = limit_waits_s(view, service)
+    if outcome is AttemptOutcome.NOT_SENT and waits_s:
+        return make_limited_error(view, waits_s)
+    return NoEndpointError(
+        f"no endpoint of {service.name} took the request ({outcome.value})",
+        with_jitter(view, UNAVAILABLE_RETRY_S),
+    )
+
+
 class Exchange:
     """Exchange of one admitted request.
 
@@ -141,17 +177,10 @@
         return self._deadline_s - self._now()
 
     def _can_end_before_stop(self) -> bool:
-        """Returns whether another attempt can end before the node stops.
-
-        It is true if nothing is known of the duration of such requests.
-        """
-        left_s = self._view.stop_deadline.left_s
-        if math.isinf(left_s):
-            return True
-        estimate_s = self._view.durations.estimate_s(
-            self._admitted.route.name, self._expected_tokens_left()
+        """Returns whether another attempt can end before the node stops."""
+        return can_end_before_stop(
+            self._view, self._admitted.route, self._expected_tokens_left()
         )
-        return left_s > max(MIN_ATTEMPT_TIME_S, estimate_s or 0.0)
 
     def _can_continue_elsewhere(self) -> bool:
         """Returns whether another endpoint would and could end the stream.
@@ -527,13 +556,8 @@
         if not self._progress.possibly_run:
             if not self._can_end_before_stop():
                 return make_stopping_error(self._view)
-            waits_s = limit_waits_s(self._view, self._admitted.service)
-            if outcome is AttemptOutcome.NOT_SENT and waits_s:
-                return make_limited_error(self._view, waits_s)
-            return NoEndpointError(
-                f"no endpoint of {self._admitted.service.name} took the"
-                f" request ({outcome.value})",
-                with_jitter(self._view, UNAVAILABLE_RETRY_S),
+            return make_unplaced_error(
+                self._view, self._admitted.service, outcome
             )
         if outcome is AttemptOutcome.TIMED_OUT:
             if self._view.stop_deadline.left_s <= 0 < self._time_left():
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -63,6 +63,8 @@
 )
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindWatch
+from guavalane_entry.gateway.where import PATH as WHERE_PATH
+from guavalane_entry.gateway.where import WhereHandler
 from guavalane_entry.gateway.work_reports import WORK_PERIOD_S, WorkReports
 from guavalane_entry.metrics import Metrics
 from guavalane_entry.relays.link import RelayLink
@@ -195,6 +197,7 @@
         self._metrics_listener = StatusListener(
             settings.metrics,
             {"/metrics": lambda: (200, self._metrics.render())},
+            {WHERE_PATH: WhereHandler(self._view).serve},
         )
         self._registration = Registration(
             api, settings, self._incarnation, timers
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import enum
+from collections.abc import Collection, Sequence
+from typing import Any
+
+import attrs
 
 from guavalane_core.forwarding import CallerRequest, Endpoint, Service
 from guavalane_core.placement import (
     Candidate,
     choose_endpoint,
+    cost_endpoint,
+    cost_engines,
     rank_engines,
     sample_endpoints,
     shortlist,
@@ -19,12 +25,88 @@
 MAX_NODES_FULL_COMPARISON = 16
 
 
+class Exclusion(enum.Enum):
+    """Why an endpoint is not a candidate."""
+
+    DRAINING = "draining"
+    # Another version receives the request while the service moves.
+    VERSION = "version"
+    TRIED = "tried"
+    # This node uses its share of the endpoint's connections.
+    NO_CONNECTION = "no_connection"
+    RATE_LIMIT = "rate_limit"
+    EJECTED = "ejected"
+    # Nodes of a large fleet compare a random sample.
+    NOT_SAMPLED = "not_sampled"
+
+
+@attrs.define
+class SelectionTrace:
+    """What a selection has considered.
+
+    Attributes:
+      costs: Candidates with the terms of their cost, by name.
+      excluded: Why the other endpoints are no candidates, by endpoint.
+    """
+
+    costs: list[tuple[dict[str, Any], Candidate]] = attrs.field(factory=list)
+    excluded: dict[str, Exclusion] = attrs.field(factory=dict)
+
+    def exclude(
+        self,
+        endpoints: Sequence[Endpoint],
+        kept: Sequence[Endpoint],
+        reason: Exclusion,
+    ) -> None:
+        """Records the endpoints that a step of the selection has dropped.
+
+        Args:
+          endpoints: Endpoints before the step.
+          kept: Endpoints after it.
+          reason: Reason, unless one is known.
+        """
+        left = {endpoint.endpoint_id for endpoint in kept}
+        for endpoint in endpoints:
+            if endpoint.endpoint_id not in left:
+                self.excluded.setdefault(endpoint.endpoint_id, reason)
+
+    def record(
+        self,
+        known: Sequence[Endpoint],
+        accepting: Sequence[Endpoint],
+        allowed: Sequence[Endpoint],
+        usable: Sequence[Endpoint],
+        taken: Sequence[Endpoint],
+    ) -> None:
+        """Records the steps that lead to the candidates.
+
+        The steps may be taken again with other versions allowed.
+
+        Args:
+          known: All endpoints of the service.
+          accepting: Those that accept requests.
+          allowed: Those whose version may receive the request.
+          usable: Those that this node may use.
+          taken: Those that are not ejected, which are the candidates.
+        """
+        names = {endpoint.endpoint_id for endpoint in taken}
+        self.excluded = {
+            name: reason
+            for name, reason in self.excluded.items()
+            if reason is not Exclusion.VERSION and name not in names
+        }
+        self.exclude(known, accepting, Exclusion.DRAINING)
+        self.exclude(accepting, allowed, Exclusion.VERSION)
+        self.exclude(usable, taken, Exclusion.EJECTED)
+
+
 def select_endpoint(
     view: NodeView,
     service: Service,
     route: str,
     request: CallerRequest,
     tried: Collection[str],
+    trace: SelectionTrace | None = None,
 ) -> Candidate | None:
     """Selects the endpoint for the next attempt; None if there is none.
 
@@ -34,32 +116,47 @@
       route: Name of the route of the request.
       request: Request.
       tried: Endpoints that were already attempted.
+      trace: Receives the candidates and the reasons for the others.
     """
     candidates = _candidates(
-        view, service, route, request, tried, first=not tried
+        view, service, route, request, tried, trace, first=not tried
     )
     if not candidates and not tried:
         # An endpoint of the version under trial may be full or ejected.
         candidates = _candidates(
-            view, service, route, request, tried, first=False
+            view, service, route, request, tried, trace, first=False
         )
+    found = candidates
     zone = view.settings.zone
     if service.engine is None or request.prompt is None:
         if view.node_count > MAX_NODES_FULL_COMPARISON:
             candidates = sample_endpoints(candidates, view.rng)
-        return choose_endpoint(candidates, zone)
-    home = None
-    if view.node_count > MAX_NODES_FULL_COMPARISON:
-        candidates, home = shortlist(candidates, request.prompt, view.rng)
-    ranked = rank_engines(
-        candidates,
-        request.prompt,
-        service.engine,
-        view.rates(service.name),
-        zone,
-        home,
-    )
-    return ranked[0][1] if ranked else None
+        chosen = choose_endpoint(candidates, zone)
+        if trace is not None:
+            trace.costs = [(cost_endpoint(c, zone), c) for c in candidates]
+    else:
+        home = None
+        if view.node_count > MAX_NODES_FULL_COMPARISON:
+            candidates, home = shortlist(candidates, request.prompt, view.rng)
+        compared = (
+            candidates,
+            request.prompt,
+            service.engine,
+            view.rates(service.name),
+            zone,
+            home,
+        )
+        ranked = rank_engines(*compared)
+        chosen = ranked[0][1] if ranked else None
+        if trace is not None:
+            trace.costs = cost_engines(*compared)
+    if trace is not None:
+        trace.exclude(
+            [c.endpoint for c in found],
+            [c.endpoint for c in candidates],
+            Exclusion.NOT_SAMPLED,
+        )
+    return chosen
 
 
 def limit_waits_s(view: NodeView, service: Service) -> dict[str, float]:
@@ -82,33 +179,56 @@
     route: str,
     request: CallerRequest,
     tried: Collection[str],
+    trace: SelectionTrace | None,
     *,
     first: bool,
 ) -> list[Candidate]:
     """Returns the endpoints that can take an attempt."""
     now_s = view.timers.now()
+    accepting = view.directory.usable(service.name)
     allowed = view.moves.allowed(
         service.name,
-        view.directory.usable(service.name),
+        accepting,
         view.rng.random(),
         route=route,
         now_s=now_s,
         first=first,
         nodes=view.sharing_nodes,
     )
-    usable = [
-        endpoint
-        for endpoint in allowed
-        if endpoint.endpoint_id not in tried
-        and _has_connection(view, service, endpoint)
-        and view.endpoint_wait_s(endpoint.endpoint_id) <= 0
-    ]
+    usable: list[Endpoint] = []
+    for endpoint in allowed:
+        reason = _find_exclusion(view, service, endpoint, tried)
+        if reason is None:
+            usable.append(endpoint)
+        elif trace is not None:
+            trace.excluded[endpoint.endpoint_id] = reason
     held = view.ejector.held([e.endpoint_id for e in usable], now_s)
-    return [
-        _candidate(view, request, endpoint, now_s)
-        for endpoint in usable
-        if endpoint.endpoint_id not in held
-    ]
+    taken = [e for e in usable if e.endpoint_id not in held]
+    if trace is not None:
+        trace.record(
+            view.directory.all_endpoints(service.name),
+            accepting,
+            allowed,
+            usable,
+            taken,
+        )
+    return [_candidate(view, request, e, now_s) for e in taken]
+
+
+def _find_exclusion(
+    view: NodeView,
+    service: Service,
+    endpoint: Endpoint,
+    tried: Collection[str],
+) -> Exclusion | None:
+    """Returns why an endpoint can take no attempt; None if it can."""
+    if endpoint.endpoint_id in tried:
+        return Exclusion.TRIED
+    if not _has_connection(view, service, endpoint):
+        return Exclusion.NO_CONNECTION
+    if view.endpoint_wait_s(endpoint.endpoint_id) > 0:
+        return Exclusion.RATE_LIMIT
+    return None
 
 
 def _candidate(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 import random
 from collections.abc import Mapping
@@ -234,6 +235,22 @@
         """
         return self.node_count if self._peers_listed else math.inf
 
+    def copy_for_preview(self) -> NodeView:
+        """Returns a view in which a decision can be made without an effect.
+
+        What a decision draws or uses up is copied: random numbers, allotments,
+        limits of endpoints and the exposure of versions. Everything else is
+        shared and may only be read.
+        """
+        preview = copy.copy(self)
+        # The copies share one copy of the random number generator.
+        memo = {id(self._timers): self._timers}
+        preview._rng = copy.deepcopy(self._rng, memo)
+        preview._allotments = copy.deepcopy(self._allotments, memo)
+        preview._endpoint_rates = copy.deepcopy(self._endpoint_rates, memo)
+        preview._moves = copy.deepcopy(self._moves, memo)
+        return preview
+
     def on_peers_listed(self) -> None:
         """Records that `peers` holds all nodes that are registered."""
         self._peers_listed = True
