Add the command guavalane where

It asks a gateway node where a request would be sent now, with each term of the cost of the candidates and the reason for every other endpoint.

--- a/packages/guavalane-cli/src/guavalane_cli/main.py
+++ b/packages/guavalane-cli/src/guavalane_cli/main.py
@@ -13,6 +13,7 @@
 from guavalane_cli.commands.endpoints import EndpointCommands
 from guavalane_cli.commands.explain import explain, read_lines
 from guavalane_cli.commands.move import MoveCommands
+from guavalane_cli.commands.where import ask, render_where
 from guavalane_cli.output import render
 from guavalane_core.exceptions import ConfigurationError, GuavalaneError
 
@@ -153,6 +154,42 @@
         # fire converts an identifier of digits to a number.
         print(explain(str(request_id), read_lines(files)))
 
+    def where(
+        self,
+        target: str,
+        organisation: str = "",
+        tokens: str = "",
+        parts: str = "",
+        method: str = "",
+        tried: str = "",
+    ) -> None:
+        """Tells where a gateway node would send a request, and why.
+
+        Nothing is sent. The option --url is the address of the node's metrics
+        listener.
+
+        Args:
+          target: URL of the request, or its host and path.
+          organisation: Name of the organisation, instead of a key.
+          tokens: Input and maximum output tokens, such as 1000,50.
+          parts: Prompt parts with their tokens, such as a:250,b:500.
+          method: HTTP method; default: POST.
+          tried: Endpoints that are taken as tried before, with commas.
+        """
+        result = ask(
+            self._context.client,
+            target,
+            organisation=organisation,
+            tokens=tokens,
+            parts=parts,
+            method=method,
+            tried=tried,
+        )
+        if self._context.as_json:
+            self._context.show(result)
+        else:
+            print(render_where(result))
+
     def replay(self, *traces: str) -> None:
         """Replays recorded traces; exit code 1 if a result is not as expected.
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/where.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/where.py
@@ -143,11 +143,11 @@
         "excluded": [],
     }
     table = view.table
+    preview = view.copy_for_preview()
     if table is not None:
         result["configuration"] = table.configuration.version
         result["route"] = _describe_route(view, query)
-        result["organisation"] = _describe_organisation(view, query)
-    preview = view.copy_for_preview()
+        result["organisation"] = _describe_organisation(preview, query)
     request = _make_request(preview, query)
     refusal: RefusalError | None = None
     try:
@@ -246,8 +246,7 @@
         return None
     found = {"name": organisation.name, "units": None, "units_left": None}
     if organisation.rate_per_s > 0:
-        # Computing the level fills the bucket up to now, which a draw does too.
-        levels = view.copy_for_preview().allotments.levels(view.timers.now())
+        levels = view.allotments.levels(view.timers.now())
         found["units_left"] = round(levels[organisation.name], UNIT_DIGITS)
         found["units_per_s"] = organisation.rate_per_s
     return found
