--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -70,11 +70,10 @@
       home: Home endpoint of the prompt. If None, it is computed from the
           candidates.
     """
+    home = home or _find_home(candidates, prompt)
     ranked = [
-        (sum(terms.values()), candidate)
-        for terms, candidate in cost_engines(
-            candidates, prompt, engine, rates, zone, home
-        )
+        (sum(_engine_cost(c, c is home, prompt, engine, rates, zone)), c)
+        for c in candidates
     ]
     ranked.sort(key=lambda pair: pair[0])
     return ranked
@@ -93,10 +92,14 @@
     The cost is the sum of the terms. The arguments are those of `rank_engines`.
     """
     home = home or _find_home(candidates, prompt)
-    return [
-        (_engine_cost(c, c is home, prompt, engine, rates, zone), c)
+    costs = [
+        _engine_cost(c, c is home, prompt, engine, rates, zone)
         for c in candidates
     ]
+    return [
+        (dict(zip(ENGINE_TERMS, cost, strict=True)), candidate)
+        for cost, candidate in zip(costs, candidates, strict=True)
+    ]
 
 
 def shortlist(
@@ -145,7 +148,7 @@
     """
     if not candidates:
         return None
-    return min(candidates, key=lambda c: tuple(cost_endpoint(c, zone).values()))
+    return min(candidates, key=lambda c: _endpoint_cost(c, zone))
 
 
 def cost_endpoint(candidate: Candidate, zone: str) -> dict[str, float | str]:
@@ -154,13 +157,28 @@
     Returns:
       Terms by name; each one decides only if those before it are equal.
     """
+    cost = _endpoint_cost(candidate, zone)
+    return dict(zip(ENDPOINT_TERMS, cost, strict=True))
+
+
+# Names of the terms that the function below returns.
+ENDPOINT_TERMS = ("load_per_slot", "starting", "other_zone", "endpoint")
+
+
+def _endpoint_cost(
+    candidate: Candidate, zone: str
+) -> tuple[float, bool, bool, str]:
     endpoint = candidate.endpoint
-    return {
-        "load_per_slot": candidate.load.requests / max(1, endpoint.slots),
-        "starting": endpoint.slow_s > 0,
-        "other_zone": endpoint.zone != zone,
-        "endpoint": endpoint.endpoint_id,
-    }
+    return (
+        candidate.load.requests / max(1, endpoint.slots),
+        endpoint.slow_s > 0,
+        endpoint.zone != zone,
+        endpoint.endpoint_id,
+    )
+
+
+# Names of the terms that the function below returns.
+ENGINE_TERMS = ("prefill", "running", "slot_wait", "other_zone")
 
 
 def _engine_cost(
@@ -170,7 +188,7 @@
     engine: Engine,
     rates: EngineRates,
     zone: str,
-) -> dict[str, float]:
+) -> tuple[float, ...]:
     load = candidate.load
     cached = candidate.cached_tokens
     if is_home:
@@ -178,15 +196,13 @@
             cached, int(HOME_CACHED_FRACTION * _shareable_tokens(prompt))
         )
     uncached = max(0, prompt.input_tokens - cached)
-    waiting = max(0, load.requests + 1 - engine.slots)
-    is_local = candidate.endpoint.zone == zone
-    return {
-        "prefill": (load.prefill_tokens + uncached)
-        / rates.prefill_tokens_per_s,
-        "running": RUNNING_REQUEST_COST_S * load.requests,
-        "slot_wait": waiting * rates.run_s / engine.slots,
-        "other_zone": 0.0 if is_local else CROSS_ZONE_COST_S,
-    }
+    waiting = load.requests + 1 - engine.slots
+    return (
+        (load.prefill_tokens + uncached) / rates.prefill_tokens_per_s,
+        RUNNING_REQUEST_COST_S * load.requests,
+        waiting * rates.run_s / engine.slots if waiting > 0 else 0.0,
+        CROSS_ZONE_COST_S if candidate.endpoint.zone != zone else 0.0,
+    )
 
 
 def _shareable_tokens(prompt: Prompt) -> int:
