--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -82,7 +82,10 @@
       max_extra: Hedged attempts per request of a service, from 0 (none) to 1.
     """
 
-    max_extra: float = 0.0
+    max_extra: float = attrs.field(
+        default=0.0,
+        validator=[attrs.validators.ge(0), attrs.validators.le(1)],
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/guavalane-entry/tests/test_admission.py
+++ b/packages/guavalane-entry/tests/test_admission.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 
+import attrs
 import pytest
 
 from guavalane_core.configuration import Endpoint, Organisation, Route
@@ -273,7 +274,7 @@
             )
         assert 3.0 <= harness.timers.now() - began <= 8.0
 
-    async def hedge(self, request_class):
+    async def hedge(self, request_class, **route):
         """Returns the result and attempt times of a call with a slow start."""
         harness = AdmissionHarness()
         attempts = []
@@ -287,6 +288,7 @@
 
         def run():
             request = harness.request(request_class=request_class)
+            request.route = attrs.evolve(request.route, **route)
             harness.rules.begin(request)
             return harness.run(harness.rules.run_hedged(request, attempt))
 
@@ -302,6 +304,12 @@
         assert result == 2
         assert attempts == [0.0, pytest.approx(0.1, abs=0.03)]
 
+    @pytest.mark.parametrize(("percent", "made"), [(0, 1), (1, 1), (10, 2)])
+    async def test_hedges_are_limited_per_route(self, percent, made):
+        """30 requests earn 0.3 attempts at 1 %, and 3 at 10 %."""
+        _, attempts = await self.hedge("idempotent", hedge_percent=percent)
+        assert len(attempts) == made
+
     @pytest.mark.parametrize(
         "request_class", ["interactive", "durable", "at_most_once"]
     )
