--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -5,6 +5,8 @@
 from guavalane_core.placement.chooser import (
     Candidate,
     choose_endpoint,
+    cost_endpoint,
+    cost_engines,
     prefer_warm,
     rank_engines,
     sample_endpoints,
@@ -21,6 +23,8 @@
     "Work",
     "WorkTable",
     "choose_endpoint",
+    "cost_endpoint",
+    "cost_engines",
     "prefer_warm",
     "rank_engines",
     "sample_endpoints",
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -86,13 +86,36 @@
     """
     home = home or _find_home(candidates, prompt)
     ranked = [
-        (_engine_cost(c, c is home, prompt, engine, rates, zone), c)
+        (sum(_engine_cost(c, c is home, prompt, engine, rates, zone)), c)
         for c in candidates
     ]
     ranked.sort(key=lambda pair: pair[0])
     return ranked
 
 
+def cost_engines(
+    candidates: Sequence[Candidate],
+    prompt: Prompt,
+    engine: Engine,
+    rates: EngineRates,
+    zone: str,
+    home: Candidate | None = None,
+) -> list[tuple[dict[str, float], Candidate]]:
+    """Returns the candidates with the terms of their cost in seconds, by name.
+
+    The cost is the sum of the terms. The arguments are those of `rank_engines`.
+    """
+    home = home or _find_home(candidates, prompt)
+    costs = [
+        _engine_cost(c, c is home, prompt, engine, rates, zone)
+        for c in candidates
+    ]
+    return [
+        (dict(zip(ENGINE_TERMS, cost, strict=True)), candidate)
+        for cost, candidate in zip(costs, candidates, strict=True)
+    ]
+
+
 def shortlist(
     candidates: Sequence[Candidate], prompt: Prompt, rng: random.Random
 ) -> tuple[list[Candidate], Candidate | None]:
@@ -139,17 +162,39 @@
     """
     if not candidates:
         return None
-    return min(
-        candidates,
-        key=lambda c: (
-            c.load.requests / max(1, c.endpoint.slots),
-            c.cold,
-            c.endpoint.zone != zone,
-            c.endpoint.endpoint_id,
-        ),
+    return min(candidates, key=lambda c: _endpoint_cost(c, zone))
+
+
+def cost_endpoint(candidate: Candidate, zone: str) -> dict[str, float | str]:
+    """Returns what candidates without an engine are compared by.
+
+    Returns:
+      Terms by name; each one decides only if those before it are equal.
+    """
+    cost = _endpoint_cost(candidate, zone)
+    return dict(zip(ENDPOINT_TERMS, cost, strict=True))
+
+
+# Names of the terms that the function below returns.
+ENDPOINT_TERMS = ("load_per_slot", "cold", "other_zone", "endpoint")
+
+
+def _endpoint_cost(
+    candidate: Candidate, zone: str
+) -> tuple[float, bool, bool, str]:
+    endpoint = candidate.endpoint
+    return (
+        candidate.load.requests / max(1, endpoint.slots),
+        candidate.cold,
+        endpoint.zone != zone,
+        endpoint.endpoint_id,
     )
 
 
+# Names of the terms that the function below returns.
+ENGINE_TERMS = ("prefill", "running", "slot_wait", "other_zone")
+
+
 def _engine_cost(
     candidate: Candidate,
     is_home: bool,
@@ -157,7 +202,7 @@
     engine: Engine,
     rates: EngineRates,
     zone: str,
-) -> float:
+) -> tuple[float, ...]:
     load = candidate.load
     cached = candidate.cached_tokens
     if is_home:
@@ -165,14 +210,13 @@
             cached, int(HOME_CACHED_FRACTION * _shareable_tokens(prompt))
         )
     uncached = max(0, prompt.input_tokens - cached)
-    cost_s = (load.prefill_tokens + uncached) / rates.prefill_tokens_per_s
-    cost_s += RUNNING_REQUEST_COST_S * load.requests
     waiting = load.requests + 1 - engine.slots
-    if waiting > 0:
-        cost_s += waiting * rates.run_s / engine.slots
-    if candidate.endpoint.zone != zone:
-        cost_s += CROSS_ZONE_COST_S
-    return cost_s
+    return (
+        (load.prefill_tokens + uncached) / rates.prefill_tokens_per_s,
+        RUNNING_REQUEST_COST_S * load.requests,
+        waiting * rates.run_s / engine.slots if waiting > 0 else 0.0,
+        CROSS_ZONE_COST_S if candidate.endpoint.zone != zone else 0.0,
+    )
 
 
 def _shareable_tokens(prompt: Prompt) -> int:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 import random
 from collections.abc import Callable, Mapping, Set
@@ -20,6 +21,7 @@
     SharedRetryBudget,
 )
 from guavalane_core.forwarding.stalls import EventGaps
+from guavalane_core.hedging import FirstResponseTimes, HedgeBudget
 from guavalane_core.limits.cold_endpoints import ColdEndpoints
 from guavalane_core.limits.endpoint_rates import EndpointRateLimits
 from guavalane_core.moves.table import MoveTable
@@ -42,7 +44,7 @@
 HEARD_PERIOD_S = 0.5
 # Settings that take effect on reload, without a restart.
 RELOADABLE_SETTINGS = frozenset(
-    {"retries", "allotments", "usage_due_s", "stop_grace_s"}
+    {"retries", "hedges", "allotments", "usage_due_s", "stop_grace_s"}
 )
 
 
@@ -97,6 +99,8 @@
         self._store_era = StoreEra(timers)
         self._table: RouteTable | None = None
         self._retries: dict[str, SharedRetryBudget] = {}
+        self._hedge_budgets: dict[str, HedgeBudget] = {}
+        self._first_responses = FirstResponseTimes()
         self._rates: dict[str, EngineRates] = {}
         self._demands: dict[str, ReplicaDemand] = {}
         self._sent: dict[str, DemandTotals] = {}
@@ -203,6 +207,11 @@
         """Durations of requests by route."""
         return self._durations
 
+    @property
+    def first_responses(self) -> FirstResponseTimes:
+        """Times to the first response of attempts by route."""
+        return self._first_responses
+
     @property
     def event_gaps(self) -> EventGaps:
         """Recent gaps between stream events by endpoint."""
@@ -237,6 +246,23 @@
         """
         return self.node_count if self._peers_listed else math.inf
 
+    def copy_for_preview(self) -> NodeView:
+        """Returns a view in which a decision can be made without an effect.
+
+        What a decision draws or uses up is copied: random numbers, allotments,
+        limits of endpoints and the exposure of versions. Everything else is
+        shared and may only be read.
+        """
+        preview = copy.copy(self)
+        # The copies share one copy of the random number generator.
+        memo = {id(self._timers): self._timers}
+        preview._rng = copy.deepcopy(self._rng, memo)
+        preview._allotments = copy.deepcopy(self._allotments, memo)
+        preview._endpoint_rates = copy.deepcopy(self._endpoint_rates, memo)
+        preview._cold_endpoints = copy.deepcopy(self._cold_endpoints, memo)
+        preview._moves = copy.deepcopy(self._moves, memo)
+        return preview
+
     def on_peers_listed(self) -> None:
         """Records that `peers` holds all nodes that are registered."""
         self._peers_listed = True
@@ -369,6 +395,8 @@
         limits = self._settings.retries
         for budget in self._retries.values():
             budget.set_limits(limits.ratio, limits.slack, limits.window_s)
+        for hedge_budget in self._hedge_budgets.values():
+            hedge_budget.set_limit(self._settings.hedges.max_extra)
         return [name for name in changed if name not in RELOADABLE_SETTINGS]
 
     def update_configuration(
@@ -416,6 +444,15 @@
             )
         return budget
 
+    def hedge_budget(self, service: str) -> HedgeBudget:
+        """Returns the limit of hedged attempts of a service."""
+        budget = self._hedge_budgets.get(service)
+        if budget is None:
+            budget = self._hedge_budgets[service] = HedgeBudget(
+                self.settings.hedges.max_extra
+            )
+        return budget
+
     def rates(self, service: str) -> EngineRates:
         """Returns the measured rates of the engines of a service."""
         return self._rates.setdefault(service, EngineRates())
