Let nodes wait longer for evacuations than for endpoints

Cause: each relay polled the kind every second like the configuration, as its responses may be at most 1.6 s old. Operators give an evacuation 5 s. Change: each urgent kind has a maximum age of its own, 0.6 of the stated time for evacuations. Waits of relays follow from it.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -69,10 +69,13 @@
 from guavalane_entry.gateway.work_reports import WORK_PERIOD_S, WorkReports
 from guavalane_entry.metrics import Metrics
 from guavalane_entry.relays.link import RelayLink
-from guavalane_entry.relays.object_api import RelayedObjectApi
+from guavalane_entry.relays.object_api import MAX_AGE_S, RelayedObjectApi
 from guavalane_entry.relays.server import HEARTBEAT_S, RelayServer
 from guavalane_entry.relays.server import PATH as CHANGES_PATH
 
+# Part of the operators' time for an evacuation after which the known zones are
+# read again. The rest covers the detection of a silent connection.
+EVACUATION_AGE_FRACTION = 0.6
 # Jitter of the load report interval as a fraction, so that nodes do not send in
 # step.
 WORK_JITTER = 0.2
@@ -448,13 +451,17 @@
             ),
             "quarantines": (QUARANTINE_KIND, self._quarantine.sink),
         }
-        urgent = [configuration_kind[0], endpoint_kind[0]]
+        urgent = dict.fromkeys(
+            (configuration_kind[0], endpoint_kind[0]), MAX_AGE_S
+        )
         if evacuation_kind is not None:
             kinds["evacuations"] = (
                 evacuation_kind,
                 EvacuationSink(self._view, self._log),
             )
-            urgent.append(evacuation_kind)
+            urgent[evacuation_kind] = (
+                EVACUATION_AGE_FRACTION * self._settings.evacuation_s
+            )
         api = RelayedObjectApi(
             self._api,
             self._relay_link,
--- a/packages/guavalane-entry/src/guavalane_entry/relays/link.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/link.py
@@ -29,10 +29,6 @@
 
 # Time without a message after which a relay is abandoned.
 RELAY_TIMEOUT_S = 1.2
-# Maximum age of the data of a relay for urgent kinds. Older data is replaced by
-# that of the object API, so that changes are applied within the shortest time
-# limit of operators for their delay, 2 s.
-MAX_AGE_S = 1.6
 # Delay of the check for outdated data after it has become so.
 AGE_CHECK_MARGIN_S = 0.01
 # Time for which a relay is not used after a failure.
@@ -111,13 +107,13 @@
         """Returns the relays of the fleet, without this node."""
         return [name for name in self._relays() if name != self._name]
 
-    def covers(self, kind: str, version: str, *, urgent: bool) -> bool:
+    def covers(self, kind: str, version: str, *, max_age_s: float) -> bool:
         """Returns whether the relay provides all changes after a version.
 
         Args:
           kind: Kind of the objects.
           version: Version.
-          urgent: Whether the data of the relay must not exceed the maximum age.
+          max_age_s: Maximum age of the data of the relay in seconds.
         """
         known = self._kinds.get(kind)
         now_s = self._timers.now()
@@ -125,7 +121,7 @@
             return False
         if now_s - self._received_s > RELAY_TIMEOUT_S:
             return False
-        if urgent and now_s - known.confirmed_s > MAX_AGE_S:
+        if now_s - known.confirmed_s > max_age_s:
             return False
         return known.covers(Position.parse(version))
 
@@ -141,7 +137,7 @@
             known.listed_s, known.failed_s
         )
 
-    def is_ahead(self, kind: str, version: str, *, urgent: bool) -> bool:
+    def is_ahead(self, kind: str, version: str, *, max_age_s: float) -> bool:
         """Returns whether the relay provides changes, but only later ones.
 
         The changes in between have to be read from the object API.
@@ -150,25 +146,27 @@
         return (
             known is not None
             and known.start > Position.parse(version)
-            and self.covers(kind, str(known.start), urgent=urgent)
+            and self.covers(kind, str(known.start), max_age_s=max_age_s)
         )
 
     def changes(self, kind: str, version: str) -> ObjectBatch:
         """Returns the changes after a version; see `covers`."""
         return self._kinds[kind].changes_after(Position.parse(version))
 
-    async def wait(self, kind: str, timeout_s: float, *, urgent: bool) -> None:
+    async def wait(
+        self, kind: str, timeout_s: float, *, max_age_s: float
+    ) -> None:
         """Waits until the relay reports a change or its data is outdated.
 
         Args:
           kind: Kind of the objects, which the relay must provide.
           timeout_s: Maximum wait in seconds.
-          urgent: Whether the data of the relay must not exceed the maximum age.
+          max_age_s: Maximum age of the data of the relay in seconds.
         """
         known = self._kinds[kind]
-        if urgent and known.confirmed_s is not None:
+        if known.confirmed_s is not None:
             # A silent relay is detected later than its data is outdated.
-            fresh_s = known.confirmed_s + MAX_AGE_S - self._timers.now()
+            fresh_s = known.confirmed_s + max_age_s - self._timers.now()
             timeout_s = min(timeout_s, max(0.0, fresh_s) + AGE_CHECK_MARGIN_S)
         changed = known.changed
         changed.clear()
@@ -288,11 +286,15 @@
                 known.changed.set()
                 continue
             age_s = age.age_ms / MS_PER_S
+            confirmed_s = known.confirmed_s
             known.confirmed_s = self._sent_after_s - age_s
+            is_older = (
+                confirmed_s is not None
+                and known.confirmed_s < confirmed_s - AGE_CHECK_MARGIN_S
+            )
             lists = known.lists
             known.on_list(
                 age.lists, self._received_s - age.listed_ms / MS_PER_S
             )
-            is_outdated = self._received_s - known.confirmed_s > MAX_AGE_S
-            if is_outdated or known.lists != lists:
+            if is_older or known.lists != lists:
                 known.changed.set()
--- a/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
+++ b/packages/guavalane-entry/src/guavalane_entry/relays/object_api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from guavalane_core.exceptions import ObjectApiError, WatchGapError
 from guavalane_core.objects import ObjectBatch, PollableObjectApi, StoredObject
@@ -11,12 +11,16 @@
 from guavalane_entry.relays.link import RelayLink
 from guavalane_entry.relays.server import RelayServer
 
-# Maximum wait of a poll for an urgent kind, in seconds. Each response confirms
-# that this node knows all changes; a connection that went silent shows only in
-# a missing response.
-MAX_URGENT_WAIT_S = 1.6
+# Maximum age of the data of the most urgent kinds, in seconds, so that changes
+# are applied within the shortest time limit of operators for their delay, 2 s.
+# It is also the maximum wait of a poll: each response confirms that this node
+# knows all changes, and a connection that went silent shows only in a missing
+# response.
+MAX_AGE_S = 1.6
 # The same on a relay, whose data must reach its followers before it is too old.
 MAX_RELAY_WAIT_S = 1.0
+# The same as a part of the maximum age of a kind.
+RELAY_WAIT_FRACTION = MAX_RELAY_WAIT_S / MAX_AGE_S
 # Time from a response with changes to the next poll of a batched kind, in
 # seconds. When all nodes of a fleet start, the entry of each would otherwise
 # end the polls of all others at once. A node has to be known within about 1 s.
@@ -34,7 +38,8 @@
       api: Object API.
       link: Connection to a relay.
       server: Server for the followers of this node.
-      urgent: Kinds whose changes must not be delayed.
+      urgent: Kinds whose changes must not be delayed, with the maximum age of
+          their data in seconds.
       timers: Timer service.
       batched: Kinds whose changes are read from the object API in batches. The
           first change after a time without any is not delayed.
@@ -45,7 +50,7 @@
         api: PollableObjectApi,
         link: RelayLink,
         server: RelayServer,
-        urgent: Collection[str],
+        urgent: Mapping[str, float],
         timers: Timers,
         batched: Collection[str] = (),
     ) -> None:
@@ -76,18 +81,18 @@
               may be missing from what this node received.
         """
         end_s = self._timers.now() + wait_s
-        urgent = kind in self._urgent
+        max_age_s = self._max_age_s(kind)
         while not self._is_direct():
             listed_s = self._listed_s.get(kind, 0.0)
             if self._link.is_broken_since(kind, listed_s):
                 raise WatchGapError(f"{kind}: the relay had to list it again")
-            if not self._link.covers(kind, version, urgent=urgent):
+            if not self._link.covers(kind, version, max_age_s=max_age_s):
                 break
             batch = self._link.changes(kind, version)
             left_s = end_s - self._timers.now()
             if batch.events or left_s <= 0:
                 return batch
-            await self._link.wait(kind, left_s, urgent=urgent)
+            await self._link.wait(kind, left_s, max_age_s=max_age_s)
         pause_s = self._pause_s(kind)
         if pause_s > 0:
             await self._timers.sleep(pause_s)
@@ -101,19 +106,21 @@
         due_s = self._changed_s.get(kind, -math.inf) + BATCH_PAUSE_S
         return due_s - self._timers.now()
 
+    def _max_age_s(self, kind: str) -> float:
+        """Returns the maximum age of the data of a kind; may be infinite."""
+        return self._urgent.get(kind, math.inf)
+
     def _is_direct(self) -> bool:
         return self._server.followers > 0 or self._link.is_relay()
 
     async def _poll_directly(
         self, kind: str, version: str, wait_s: float
     ) -> ObjectBatch:
-        urgent = kind in self._urgent
-        if urgent:
-            wait_s = min(wait_s, MAX_URGENT_WAIT_S)
+        max_age_s = self._max_age_s(kind)
+        wait_s = min(wait_s, max_age_s)
         if self._is_direct():
-            if urgent:
-                wait_s = min(wait_s, MAX_RELAY_WAIT_S)
-        elif self._link.is_ahead(kind, version, urgent=urgent):
+            wait_s = min(wait_s, max_age_s * RELAY_WAIT_FRACTION)
+        elif self._link.is_ahead(kind, version, max_age_s=max_age_s):
             # Reads the changes that the relay does not provide.
             wait_s = MIN_WAIT_S
         try:
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -30,8 +30,8 @@
 from guavalane_entry.relays import link, server
 from guavalane_entry.relays.link import RelayLink
 from guavalane_entry.relays.object_api import (
+    MAX_AGE_S,
     MAX_RELAY_WAIT_S,
-    MAX_URGENT_WAIT_S,
     RelayedObjectApi,
 )
 from guavalane_entry.relays.server import HEARTBEAT_S, PATH, RelayServer
@@ -169,7 +169,11 @@
             random.Random(1),
         )
         self.api = RelayedObjectApi(
-            store.caller(name), self.link, self.server, (KIND,), timers
+            store.caller(name),
+            self.link,
+            self.server,
+            {KIND: MAX_AGE_S},
+            timers,
         )
         # Delay of what followers receive, in seconds.
         self.link_delay_s = 0.0
@@ -425,7 +429,7 @@
         store.cut()
         # The relay may list just after the follower, which notices that once
         # its own poll has ended.
-        await asyncio.sleep(MAX_URGENT_WAIT_S + 0.5)
+        await asyncio.sleep(MAX_AGE_S + 0.5)
         lists = store.lists[FOLLOWER]
         assert lists <= before + 2
         await asyncio.sleep(4 * HEARTBEAT_S)
@@ -455,7 +459,7 @@
         nodes = await start_nodes(store, (FOLLOWER, RELAY))
         follower, _ = nodes
         await wait_until(lambda: follower.link.relay == RELAY, 5.0)
-        await asyncio.sleep(MAX_URGENT_WAIT_S + 0.5)
+        await asyncio.sleep(MAX_AGE_S + 0.5)
         assert store.lists[FOLLOWER] == 1
         store.put("later")
         await follower.wait_for("later", APPLY_S)
--- a/packages/guavalane-entry/tests/gateway/test_store_calls.py
+++ b/packages/guavalane-entry/tests/gateway/test_store_calls.py
@@ -87,7 +87,7 @@
         rng,
     )
     server = RelayServer(timers, tuple)
-    relayed = RelayedObjectApi(api, link, server, (), timers, (NODE_KIND,))
+    relayed = RelayedObjectApi(api, link, server, {}, timers, (NODE_KIND,))
     return KindWatch(relayed, NODE_KIND, sink, timers, log, rng)
 
 
