Read the own entry before writing it again

At a simultaneous start each node made three calls to register: the create, and a second create with a conflict and a read, since the list that it had read meanwhile did not have the entry yet. A restarted node created its entry, which exists, and then read it.

From the first registration on, and after a restart, the entry is read first and only created if it is missing: two calls at a first start, one at a restart.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -197,7 +197,11 @@
             {"/metrics": lambda: (200, self._metrics.render())},
         )
         self._registration = Registration(
-            api, settings, self._incarnation, timers
+            api,
+            settings,
+            self._incarnation,
+            timers,
+            expects_entry=not is_first_start,
         )
         self._work_reports = WorkReports(
             settings.name,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/registration.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/registration.py
@@ -31,6 +31,10 @@
       settings: Settings of the node.
       incarnation: Incarnation of this process.
       timers: Timer service.
+      expects_entry: Whether there is probably an entry of an earlier process,
+          so that reading it saves a call. From the first registration on, that
+          is the case: a list of the object API that lacks the entry may be
+          older than it.
     """
 
     def __init__(
@@ -39,6 +43,8 @@
         settings: GatewaySettings,
         incarnation: int,
         timers: Timers,
+        *,
+        expects_entry: bool = False,
     ) -> None:
         self._api = api
         self._name = settings.name
@@ -50,6 +56,7 @@
             "incarnation": incarnation,
         }
         self._timers = timers
+        self._expects_entry = expects_entry
         self._due = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -78,22 +85,28 @@
                 await self._timers.sleep(RETRY_DELAY_S)
 
     async def _register(self) -> None:
+        if self._expects_entry and await self._confirm():
+            return
         try:
             await self._api.create(NODE_KIND, self._name, self._body)
         except ObjectConflictError:
-            await self._update()
+            if not await self._confirm():
+                # The entry was deleted after the conflicting create.
+                self._due.set()
+                return
+        self._expects_entry = True
 
-    async def _update(self) -> None:
+    async def _confirm(self) -> bool:
+        """Returns whether there is an entry, and corrects an outdated one."""
         try:
             stored = await self._api.get(NODE_KIND, self._name)
         except ObjectNotFoundError:
-            # The entry was deleted after the conflicting create.
-            self._due.set()
-            return
+            return False
         if not self._is_current(stored.body):
             await self._api.update(
                 NODE_KIND, self._name, self._body, stored.version
             )
+        return True
 
     def _is_current(self, body: Mapping[str, Any]) -> bool:
         """Returns whether an entry tells what other nodes need to know."""
--- a/packages/guavalane-entry/tests/gateway/test_node_duty.py
+++ b/packages/guavalane-entry/tests/gateway/test_node_duty.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from guavalane_core.objects import MemoryObjectApi, ObjectEvent, StoredObject
@@ -123,6 +124,27 @@
         assert stored.body["address"] == str(PLACEHOLDER_ADDRESS)
         await registration.stop()
 
+    @pytest.mark.parametrize("is_stored", [False, True])
+    async def test_a_restart_finds_or_creates_its_entry(self, is_stored):
+        """Guards against calls for an entry that is current already."""
+        api = MemoryObjectApi()
+        entry = Registration(api, make_settings(), 1, LoopTimers())
+        if is_stored:
+            entry.start()
+            await asyncio.sleep(0.05)
+            await entry.stop()
+        before = attrs.evolve(api.calls)
+        registration = Registration(
+            api, make_settings(), 2, LoopTimers(), expects_entry=True
+        )
+        registration.start()
+        await asyncio.sleep(0.05)
+        registration.renew()
+        await asyncio.sleep(0.05)
+        await registration.stop()
+        assert (await api.get(NODE_KIND, "n1")).body["address"]
+        assert api.calls.writes - before.writes == int(not is_stored)
+
     def test_only_an_object_api_list_triggers_registration(self):
         calls = []
         view = NodeView(make_settings(), ManualTimers(), random.Random(1))
