--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -208,7 +208,11 @@
             {WHERE_PATH: WhereHandler(self._view).serve},
         )
         self._registration = Registration(
-            api, settings, self._incarnation, timers
+            api,
+            settings,
+            self._incarnation,
+            timers,
+            expects_entry=not is_first_start,
         )
         self._work_reports = WorkReports(
             settings.name,
