Count attempts of a race when their endpoint is chosen

The attempts of a race were counted by their tasks, which start later, so that several requests could take the last part of an endpoint's limit, or of the retry budget, in one step of the event loop. They are now counted at once, and what was counted for a task that never ran is withdrawn.

test_hedging.py: 27 passed; the first new test fails without the change.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -235,6 +235,7 @@
             attempts = await self._run_attempts(candidate)
             last = attempts[-1]
             outcome = last.outcome
+            self._progress.last_status = last.status
             self._progress.last_outcome = outcome.value
             if outcome is AttemptOutcome.ANSWERED:
                 return outcome
@@ -252,35 +253,42 @@
           Attempts that have ended, without a cancelled one. The last one
           determines what follows.
         """
-        first = AttemptState(candidate)
         delay_s = self._hedging.delay_s(
             self._uncached_tokens(candidate), has_started=self._reply.started
         )
+        # An attempt is counted at once: a task that starts later would let
+        # another request take the same part of an endpoint's limit.
+        first = self._begin_attempt(AttemptState(candidate))
         if delay_s is None:
             return [await self._attempt(first)]
-        race = HedgedRace(
-            self._view.timers, delay_s, lambda: self._make_hedge(first)
-        )
+
+        def make_hedge() -> Attempt[AttemptState] | None:
+            chosen = self._hedging.choose(first)
+            if chosen is None:
+                return None
+            hedge = AttemptState(chosen, is_hedge=True)
+            return self._enter(self._begin_attempt(hedge))
+
+        race = HedgedRace(self._view.timers, delay_s, make_hedge)
         ended = await race.run(self._enter(first))
         return [task.result() for task in ended]
 
-    def _make_hedge(self, first: AttemptState) -> Attempt[AttemptState] | None:
-        candidate = self._hedging.choose(first)
-        if candidate is None:
-            return None
-        return self._enter(AttemptState(candidate))
-
     def _enter(self, attempt: AttemptState) -> Attempt[AttemptState]:
         """Returns an attempt as part of a race."""
 
-        async def run(entrant: Entrant) -> AttemptState:
+        def start(entrant: Entrant) -> asyncio.Task[AttemptState]:
             attempt.entrant = entrant
-            await self._attempt(attempt)
-            if self._progress.active and not attempt.has_won:
-                self._log_failed(attempt, Decision.AWAIT_OTHER)
-            return attempt
+            task = asyncio.create_task(self._compete(attempt))
+            task.add_done_callback(lambda _: self._withdraw_unsent(attempt))
+            return task
+
+        return start
 
-        return run
+    async def _compete(self, attempt: AttemptState) -> AttemptState:
+        await self._attempt(attempt)
+        if self._progress.active and not attempt.has_won:
+            self._log_failed(attempt, Decision.AWAIT_OTHER)
+        return attempt
 
     async def _wait_before_repeating(self, endpoint: Endpoint) -> None:
         """Waits until a second crash under the request would be known.
@@ -346,16 +354,23 @@
 
     async def _attempt(self, attempt: AttemptState) -> AttemptState:
         """Makes an attempt and records its outcome."""
-        self._begin_attempt(attempt)
-        try:
-            attempt.outcome = await self._send_measured(attempt)
-        finally:
-            if attempt.has_won:
-                self._progress.last_status = attempt.status
+        attempt.running = True
+        attempt.outcome = await self._send_measured(attempt)
         return attempt
 
-    def _begin_attempt(self, attempt: AttemptState) -> None:
-        """Counts an attempt that is about to be sent."""
+    def _withdraw_unsent(self, attempt: AttemptState) -> None:
+        """Ends what was counted for an attempt whose task has never run."""
+        if attempt.running:
+            return
+        self._progress.active -= 1
+        self._undo_count_run()
+        self._view.work.finish(attempt.work)
+        self._view.moves.end_attempt(
+            attempt.endpoint, attempt.sample, self._now()
+        )
+
+    def _begin_attempt(self, attempt: AttemptState) -> AttemptState:
+        """Counts an attempt that is about to be sent, and returns it."""
         view = self._view
         progress = self._progress
         candidate = attempt.candidate
@@ -398,6 +413,7 @@
             # A plain service starts to run a request on arrival, an engine with
             # its first token.
             self._count_run()
+        return attempt
 
     async def _send_measured(self, attempt: AttemptState) -> AttemptOutcome:
         """Sends an attempt and records what it tells of its endpoint."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/hedging.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/hedging.py
@@ -95,7 +95,9 @@
         Args:
           first: First attempt, which is slow.
         """
-        candidate = self._next_candidate()
+        candidate = None
+        if self._budget.may_spend():
+            candidate = self._next_candidate()
         reason = find_suppression(self._situation(first, candidate))
         if reason is None:
             self._budget.spend()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -55,7 +55,9 @@
 
     Attributes:
       candidate: Endpoint with its load.
+      is_hedge: Whether it is a hedged attempt.
       entrant: Part in a race of two attempts; None if there is no race.
+      running: Whether it was started, so that it ends what was counted.
       sent_s: Monotonic time at which it was sent, in seconds.
       uncached_tokens: Prompt tokens that the endpoint has to process.
       work: Its entry in the work table.
@@ -71,7 +73,9 @@
     """
 
     candidate: Candidate
+    is_hedge: bool = False
     entrant: Entrant | None = None
+    running: bool = False
     sent_s: float = 0.0
     uncached_tokens: int = 0
     work: Work | None = None
@@ -88,11 +92,6 @@
         """Endpoint of the attempt."""
         return self.candidate.endpoint
 
-    @property
-    def is_hedge(self) -> bool:
-        """Whether it is a hedged attempt."""
-        return self.entrant is not None and self.entrant.is_hedge
-
     @property
     def has_won(self) -> bool:
         """Whether its response may be forwarded."""
--- a/packages/guavalane-entry/tests/gateway/test_hedging.py
+++ b/packages/guavalane-entry/tests/gateway/test_hedging.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import types
 
 import aiohttp
 import attrs
@@ -16,8 +17,11 @@
     Organisation,
     VersionMove,
 )
+from guavalane_core.tasks import cancel_tasks
 from guavalane_entry.gateway.settings import HedgeSettings
+from guavalane_entry.hedged_race import HedgedRace
 from guavalane_standins.forwarding_samples import (
+    make_caller_request,
     make_configuration,
     make_prompt,
     make_route,
@@ -401,3 +405,47 @@
             assert rig.suppressed == [reason]
             assert len(rig.received) == 1
             assert rig.metrics.total("hedges_suppressed") == 1
+
+
+class TestCounting:
+    """Guards against limits that tasks exceed because they start later."""
+
+    async def test_an_attempt_is_counted_when_it_is_chosen(self):
+        """Otherwise several requests take the last place at once."""
+        async with HedgingRig(make_plain(), *[hang] * 8) as rig:
+            requests = [
+                make_caller_request(
+                    request_id=f"q-{i}",
+                    arrived_s=rig.view.timers.now(),
+                    key="k",
+                )
+                for i in range(8)
+            ]
+            reply = types.SimpleNamespace(started=False)
+            tasks = [
+                asyncio.ensure_future(rig.forwarder.forward(request, reply))
+                for request in requests
+            ]
+            # One step of each task; those that they start have not run yet.
+            await asyncio.sleep(0)
+            loads = rig.view.work.own_loads()
+            assert [loads[n].requests for n in ("e-1", "e-2")] == [4, 4]
+            await cancel_tasks(*tasks)
+            assert rig.view.work.own_loads() == {}
+
+    async def test_a_hedge_that_never_starts_leaves_no_count(self, monkeypatch):
+        start = HedgedRace._start
+
+        def start_and_cancel(race, attempt, *, is_hedge):
+            start(race, attempt, is_hedge=is_hedge)
+            if is_hedge:
+                list(race._tasks.values())[-1].cancel()
+
+        monkeypatch.setattr(HedgedRace, "_start", start_and_cancel)
+        first = after(3 * DELAY_S, answer(b"x"))
+        async with HedgingRig(make_plain(), first) as rig:
+            assert await post(rig) == (200, b"x")
+            assert rig.hedges == (1, 0)
+            await wait_for(lambda: rig.view.work.own_loads() == {})
+            assert rig.usage == 1
+            assert len(rig.received) == 1
