--- a/packages/guavalane-entry/tests/test_broken_responses.py
+++ b/packages/guavalane-entry/tests/test_broken_responses.py
@@ -26,6 +26,7 @@
 from guavalane_entry.store.objects_http import HttpObjectApi
 from guavalane_standins.broken_server import (
     BROKEN_STATUSES,
+    LOOP_POLICIES,
     RESET_DELAY_S,
     UPLOAD,
     listen,
@@ -43,6 +44,18 @@
 LIMIT_S = 30.0
 
 
+# pytest-asyncio has no other way yet to choose the loop of a test.
+pytestmark = pytest.mark.filterwarnings(
+    "ignore:Overriding the .event_loop_policy. fixture"
+)
+
+
+@pytest.fixture(params=LOOP_POLICIES)
+def event_loop_policy(request):
+    """Runs each test on the loop of asyncio and on that of the programs."""
+    return LOOP_POLICIES[request.param]()
+
+
 async def call_gateway(address, body=b""):
     """Sends a request with the client of the gateway."""
     client = gateway.EndpointClient()
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -16,6 +16,7 @@
 from guavalane_platform.objects import StoreObjectApi
 from guavalane_standins.broken_server import (
     BROKEN_STATUSES,
+    LOOP_POLICIES,
     UPLOAD,
     listen,
     reset_server,
@@ -29,6 +30,18 @@
 LIST = b'{"Items": [], "CurrentRev": 1}'
 
 
+# pytest-asyncio has no other way yet to choose the loop of a test.
+pytestmark = pytest.mark.filterwarnings(
+    "ignore:Overriding the .event_loop_policy. fixture"
+)
+
+
+@pytest.fixture(params=LOOP_POLICIES)
+def event_loop_policy(request):
+    """Runs each test on the loop of asyncio and on that of the programs."""
+    return LOOP_POLICIES[request.param]()
+
+
 @pytest.fixture(autouse=True)
 def long_timeouts(monkeypatch):
     """Keeps the timeouts of calls from ending a broken response."""
