Bound the bodies and connections of callers of a gateway node

Cause: bodies of requests were held without a common limit, doubled by a copy to bytes and by the joins of aiohttp with the head, and a body that made no progress was kept for ever. Nothing bounded the connections.

Change: BodyMemory accounts request bodies until their request has ended and buffered responses until they are sent, and evicts incomplete ones; it replaces BodyBuffers, whose tests are now those of BodyMemory. An evicted request gets 503 memory_short, one without progress 408 body_timeout, with Connection: close. CallerConnections closes the connection without progress for the longest time. Settings: Limits.MemoryMb, Limits.MaxFds.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/request.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/request.py
@@ -83,7 +83,7 @@
     host: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
     arrived_s: float
     time_limit_s: float | None = None
     key: str | None = None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -35,7 +35,7 @@
         host: str,
         target: str,
         headers: Iterable[tuple[str, str]],
-        body: bytes,
+        body: bytes | bytearray,
         arrived_s: float,
     ) -> CallerRequest:
         """Parses a request from a caller.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -12,7 +12,14 @@
 from yarl import URL
 
 from guavalane_core.forwarding import Endpoint
+from guavalane_core.limits.body_memory import HeldBody
 from guavalane_core.tasks import cancel_tasks
+from guavalane_core.timers import LoopTimers
+from guavalane_entry.caller_bounds import (
+    BodyEvictedError,
+    BodySizeError,
+    CallerBounds,
+)
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.http_connection import (
     BoundedConnector,
@@ -21,6 +28,7 @@
     expected_identity,
 )
 from guavalane_entry.http_session import make_keepalive_socket, make_session
+from guavalane_entry.large_bodies import payload_of
 
 # Connect timeout in seconds. Endpoints are at most a few milliseconds away, so
 # a slower one is down or unreachable.
@@ -32,9 +40,6 @@
 NON_REPEATABLE_IDLE_TIMEOUT_S = 1.5
 # Largest response body that is buffered before it is forwarded.
 MAX_WHOLE_BODY_BYTES = 16 * 1024 * 1024
-# Size of all buffered bodies above which those of more than average size are
-# broken off. The smallest nodes have 200 MB.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 
 class NotSentError(Exception):
@@ -45,33 +50,6 @@
     """The response is missing, incomplete or to another request."""
 
 
-class BodyBuffers:
-    """Response bodies that a node buffers, which share its memory."""
-
-    def __init__(self) -> None:
-        self._bodies: dict[int, bytearray] = {}
-
-    @contextlib.contextmanager
-    def track(self, body: bytearray) -> Iterator[None]:
-        """Counts a body while it is read."""
-        self._bodies[id(body)] = body
-        try:
-            yield
-        finally:
-            del self._bodies[id(body)]
-
-    def is_too_large(self, body: bytearray) -> bool:
-        """Returns whether a body exceeds its limit or the memory.
-
-        If the memory is short, bodies of average size and below are kept.
-        """
-        if len(body) > MAX_WHOLE_BODY_BYTES:
-            return True
-        total = sum(map(len, self._bodies.values()))
-        average = total / len(self._bodies)
-        return total > MAX_BUFFERED_BYTES and len(body) >= average
-
-
 @attrs.frozen(eq=False)
 class EndpointResponse:
     """Status and headers of an endpoint response, with access to its body.
@@ -81,14 +59,16 @@
       headers: Headers in order of arrival.
       response: Response object of aiohttp.
       protocol: Protocol object of its connection.
-      buffers: Sizes of the bodies that this node buffers.
+      bounds: Bounds on the bodies that this node holds.
+      held: Entry of the body among them.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     response: aiohttp.ClientResponse
     protocol: Any
-    buffers: BodyBuffers = attrs.field(factory=BodyBuffers)
+    bounds: CallerBounds
+    held: HeldBody
 
     @property
     def framed(self) -> bool:
@@ -142,26 +122,30 @@
         while (data := await self.read_chunk()) is not None:
             yield data
 
-    async def read_whole(self) -> bytes:
-        """Reads the complete body.
+    async def read_whole(self) -> bytes | bytearray:
+        """Reads the complete body, which counts until `send` ends.
 
         Raises:
           BrokenResponseError: The body is incomplete or too large.
         """
-        body = bytearray()
-        with self.buffers.track(body):
-            async for data in self.chunks():
-                body += data
-                if self.buffers.is_too_large(body):
-                    raise BrokenResponseError("the body is too large")
-        return bytes(body)
+        try:
+            return await self.bounds.collect(
+                self.held, self.read_chunk, MAX_WHOLE_BODY_BYTES
+            )
+        except (BodyEvictedError, BodySizeError) as error:
+            raise BrokenResponseError(str(error)) from error
 
 
 class EndpointClient:
-    """Sends requests to endpoints without retrying them."""
+    """Sends requests to endpoints without retrying them.
+
+    Args:
+      bounds: Bounds on the bodies that this node holds; by default those of a
+          process whose size is unknown.
+    """
 
-    def __init__(self) -> None:
-        self._buffers = BodyBuffers()
+    def __init__(self, bounds: CallerBounds | None = None) -> None:
+        self._bounds = bounds or CallerBounds(LoopTimers())
         # Running checks by address of the endpoint.
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._repeatable = _open_session(REPEATABLE_IDLE_TIMEOUT_S)
@@ -214,7 +198,7 @@
         method: str,
         target: str,
         headers: list[tuple[str, str]],
-        body: bytes,
+        body: bytes | bytearray,
         *,
         repeatable: bool,
         identity: ResponseIdentity | None = None,
@@ -249,7 +233,7 @@
                 method,
                 url,
                 headers=headers,
-                data=body or None,
+                data=payload_of(body),
                 allow_redirects=False,
             )
         except (
@@ -262,6 +246,7 @@
         finally:
             expected_identity.reset(token)
         protocol = current_protocol.get()
+        held = self._bounds.open(response.content_length, is_request=False)
         try:
             yield EndpointResponse(
                 response.status,
@@ -271,7 +256,8 @@
                 ),
                 response,
                 protocol,
-                self._buffers,
+                self._bounds,
+                held,
             )
         except BrokenResponseError:
             # The response may belong to another request, and its connection,
@@ -279,6 +265,7 @@
             protocol.close()
             raise
         finally:
+            self._bounds.memory.close(held)
             # Closes the connection unless it was returned to the pool.
             response.close()
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -114,6 +114,19 @@
     status = 429
 
 
+class MemoryShortError(RefusalError):
+    """The memory for bodies is used up, and this one was not complete."""
+
+    code = "memory_short"
+
+
+class BodyTimeoutError(RefusalError):
+    """The body made no progress for the configured idle timeout."""
+
+    code = "body_timeout"
+    status = 408
+
+
 class UnknownRouteError(RefusalError):
     """No route matches the host and path."""
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -15,17 +15,33 @@
 from loguru import logger as log
 
 from guavalane_core.forwarding import CallerLimits, CallerRequest
+from guavalane_core.limits.body_memory import (
+    ORDINARY_BODY_BYTES,
+    Eviction,
+    HeldBody,
+)
 from guavalane_core.timers import Subscription, Timers
+from guavalane_entry.caller_bounds import (
+    CHECK_PERIOD_S,
+    LINGERING_TIME_S,
+    RETRY_AFTER_S,
+    BodyEvictedError,
+    BodySizeError,
+    CallerBounds,
+)
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.errors import (
+    BodyTimeoutError,
     BodyTooLargeError,
     HeaderTooLargeError,
+    MemoryShortError,
     RefusalError,
     StoppingError,
 )
 from guavalane_entry.gateway.problems import problem_of
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.stop_deadline import StopDeadline
+from guavalane_entry.large_bodies import slices_of
 
 # Length of the accept queue; all callers may connect at the same time after a
 # simultaneous start.
@@ -33,11 +49,10 @@
 # Idle connections are kept for this multiple of the configured idle timeout, so
 # that a caller that respects the timeout never uses a closing connection.
 IDLE_TIMEOUT_FACTOR = 1.25
-# Time to read the rest of a body after an early response, in seconds.
-LINGERING_TIME_S = 2.0
 MAX_LINE_BYTES = 65_536
-# Interval between checks for slow request headers, in seconds.
-HEADER_CHECK_PERIOD_S = 0.25
+# A connection is not read while twice this number of bytes of its body, which
+# are not in the account of bodies yet, wait for the handler.
+READ_BUFFER_BYTES = 65_536
 # Response to a header that took too long; the request was not processed.
 HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
@@ -72,6 +87,7 @@
     ) -> None:
         self._request = request
         self._is_closing = is_closing
+        self._closes = False
         self._response: StreamResponse | None = None
 
     @property
@@ -84,14 +100,26 @@
         """Response object of aiohttp; None before the status is sent."""
         return self._response
 
+    def close_after_response(self) -> None:
+        """Makes the response announce the end of the connection."""
+        self._closes = True
+
     async def send_response(
-        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        body: bytes | bytearray,
     ) -> None:
         """Sends a complete response."""
         response = self._make(StreamResponse(status=status), headers)
         response.content_length = len(body)
         await response.prepare(self._request)
-        await response.write_eof(body)
+        if len(body) <= ORDINARY_BODY_BYTES:
+            await response.write_eof(body)
+            return
+        for part in slices_of(body):
+            await response.write(part)
+        await response.write_eof()
 
     async def start(
         self,
@@ -138,7 +166,7 @@
     ) -> StreamResponse:
         for name, value in headers:
             response.headers.add(name, value)
-        if self._is_closing():
+        if self._closes or self._is_closing():
             response.force_close()
         self._response = response
         return response
@@ -184,6 +212,7 @@
       timers: Timer service.
       unanswered: Connections with a request that has no final response. A
           connection adds and removes itself.
+      bounds: Bounds on the connections.
       arguments: Arguments of the base class.
     """
 
@@ -191,10 +220,12 @@
         self,
         timers: Timers,
         unanswered: _ConnectionSet,
+        bounds: CallerBounds,
         *arguments: Any,
         **named: Any,
     ) -> None:
         super().__init__(*arguments, **named)
+        self._bounds = bounds
         self._timers = timers
         self._unanswered = unanswered
         self._header_since_s: float | None = None
@@ -216,8 +247,16 @@
             return 0.0
         return self._timers.now() - self._header_since_s
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts a connection, and closes one if there are too many."""
+        super().connection_made(transport)
+        excess = self._bounds.connections.open(self)
+        if excess is not None and excess.transport is not None:
+            excess.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Processes bytes from a caller."""
+        self._bounds.connections.on_progress(self)
         self._unanswered.add(self)
         super().data_received(data)
         if self._messages:
@@ -231,6 +270,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Discards a request that no handler has started."""
+        self._bounds.connections.close(self)
         super().connection_lost(exc)
         if not self._handled:
             self._unanswered.discard(self)
@@ -243,6 +283,10 @@
         self._reply = reply
         self._header_since_s = None
 
+    def hold(self) -> None:
+        """Records that a request was read completely."""
+        self._bounds.connections.hold(self)
+
     def abort_response(self) -> None:
         """Breaks off the response to the current request, if any."""
         if self._reply is not None:
@@ -250,6 +294,7 @@
 
     def end_request(self) -> None:
         """Records that a request was answered."""
+        self._bounds.connections.release(self)
         self._handled = False
         self._reply = None
         if not self._has_queued_request or self.transport is None:
@@ -272,8 +317,10 @@
         limits: Callable[[], CallerLimits],
         timers: Timers,
         unanswered: _ConnectionSet,
+        bounds: CallerBounds,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._bounds = bounds
         self._limits = limits
         self._timers = timers
         self._unanswered = unanswered
@@ -283,12 +330,14 @@
         return _CallerConnection(
             self._timers,
             self._unanswered,
+            self._bounds,
             self,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             lingering_time=LINGERING_TIME_S,
+            read_bufsize=READ_BUFFER_BYTES,
             auto_decompress=False,
             access_log=None,
         )
@@ -304,6 +353,8 @@
       limits: Function that returns the limits in force.
       handler: Function that handles a request.
       stop_deadline: Time left for requests while the node stops.
+      bounds: Bounds on bodies and connections; by default those of a process
+          whose size is unknown.
     """
 
     def __init__(
@@ -314,6 +365,7 @@
         limits: Callable[[], CallerLimits],
         handler: Handler,
         stop_deadline: StopDeadline,
+        bounds: CallerBounds | None = None,
     ) -> None:
         self._address = address
         self._codec = codec
@@ -321,6 +373,7 @@
         self._limits = limits
         self._handler = handler
         self._stop_deadline = stop_deadline
+        self._bounds = bounds or CallerBounds(timers)
         self._closing = False
         self._unanswered = _ConnectionSet()
         self._server: _LimitedServer | None = None
@@ -340,10 +393,14 @@
     async def start(self) -> None:
         """Starts listening."""
         self._server = _LimitedServer(
-            self._serve, self._limits, self._timers, self._unanswered
+            self._serve,
+            self._limits,
+            self._timers,
+            self._unanswered,
+            self._bounds,
         )
         self._sweep = self._timers.call_every(
-            HEADER_CHECK_PERIOD_S, self._refuse_slow_headers
+            CHECK_PERIOD_S, self._check_callers
         )
         self._sockets = await asyncio.get_running_loop().create_server(
             self._server,
@@ -383,8 +440,10 @@
         self._sweep.cancel()
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
-    def _refuse_slow_headers(self) -> None:
-        timeout_s = self._limits().header_timeout_s
+    def _check_callers(self) -> None:
+        limits = self._limits()
+        self._bounds.check(limits.idle_timeout_s)
+        timeout_s = limits.header_timeout_s
         for connection in self._server.connections:
             if connection.header_age_s > timeout_s:
                 log.info("listener: a header took over {} s", timeout_s)
@@ -407,19 +466,35 @@
     async def _answer(
         self, request: BaseRequest, reply: ConnectionReply
     ) -> None:
+        held = self._bounds.open(request.content_length)
+        try:
+            caller_request = await self._receive(request, reply, held)
+            if caller_request is not None:
+                request.protocol.hold()
+                await self._handler(caller_request, reply)
+        finally:
+            self._bounds.memory.close(held)
+
+    async def _receive(
+        self, request: BaseRequest, reply: ConnectionReply, held: HeldBody
+    ) -> CallerRequest | None:
+        """Reads a request; returns None if it was rejected."""
         try:
             async with self._stop_deadline.limit():
-                caller_request = await self._read(request)
+                return await self._read(request, held)
         except TimeoutError:
             error = StoppingError("the node stops before the body has arrived")
-            await reply.send_response(*problem_of(error))
-            return
-        except RefusalError as error:
-            await reply.send_response(*problem_of(error))
-            return
-        await self._handler(caller_request, reply)
-
-    async def _read(self, request: BaseRequest) -> CallerRequest:
+        except (BodyTimeoutError, MemoryShortError) as refusal:
+            reply.close_after_response()
+            error = refusal
+        except RefusalError as refusal:
+            error = refusal
+        await reply.send_response(*problem_of(error))
+        return None
+
+    async def _read(
+        self, request: BaseRequest, held: HeldBody
+    ) -> CallerRequest:
         arrived_s = self._timers.now()
         limits = self._limits()
         raw_headers = request.raw_headers
@@ -430,7 +505,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in raw_headers
         ]
-        body = await self._read_body(request, limits.body_bytes)
+        body = await self._read_body(request, held, limits)
         return self._codec.read(
             request.method,
             request.headers.get("Host", ""),
@@ -440,19 +515,29 @@
             arrived_s,
         )
 
-    async def _read_body(self, request: BaseRequest, limit_bytes: int) -> bytes:
+    async def _read_body(
+        self, request: BaseRequest, held: HeldBody, limits: CallerLimits
+    ) -> bytes | bytearray:
         if not request.can_read_body:
             return b""
-        if (request.content_length or 0) > limit_bytes:
+        if (request.content_length or 0) > limits.body_bytes:
             raise BodyTooLargeError("the body is too large")
         if request.headers.get("Expect", "").lower() == "100-continue":
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = bytearray()
-        async for data in request.content.iter_any():
-            body += data
-            if len(body) > limit_bytes:
-                raise BodyTooLargeError("the body is too large")
-        return bytes(body)
+        try:
+            return await self._bounds.collect(
+                held, request.content.readany, limits.body_bytes
+            )
+        except BodySizeError as error:
+            raise BodyTooLargeError("the body is too large") from error
+        except BodyEvictedError as error:
+            if error.reason is Eviction.STALLED:
+                raise BodyTimeoutError(
+                    f"no part of the body arrived for {limits.idle_timeout_s} s"
+                ) from error
+            raise MemoryShortError(
+                "the memory for bodies is used up", RETRY_AFTER_S
+            ) from error
 
 
 class StatusListener:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -21,6 +21,7 @@
 from guavalane_core.objects import StatusApi
 from guavalane_core.objects.relays import RelayCandidate
 from guavalane_core.timers import Timers
+from guavalane_entry.caller_bounds import CallerBounds, CallerTotals
 from guavalane_entry.gateway import (  # noqa: F401
     move_duty,
     node_duty,
@@ -157,7 +158,13 @@
         self._endpoint_limits = EndpointLimits(
             self._view, timers, self._log, self._reports.send_to_all
         )
-        self._endpoint_client = EndpointClient()
+        self._bounds = CallerBounds(
+            timers,
+            settings.memory_mb,
+            settings.max_descriptors,
+            self._log_limited,
+        )
+        self._endpoint_client = EndpointClient(self._bounds)
         self._quarantine = QuarantineService(
             self._view, api, timers, self._log, self._reports.send_to_all
         )
@@ -188,6 +195,7 @@
             self._limits,
             forwarder.forward,
             self._view.stop_deadline,
+            self._bounds,
         )
         self._readiness = StatusListener(
             settings.readiness, {settings.readiness_path: self._check_readiness}
@@ -327,6 +335,7 @@
         """Registers gauges of the node state."""
         view = self._view
         gauges = {
+            **self._bounds.gauges,
             "watch_age_seconds": lambda: {
                 name: watch.age_s for name, watch in self._watches.items()
             },
@@ -367,6 +376,16 @@
         for name, read in gauges.items():
             self._metrics.gauge(name, read)
 
+    def _log_limited(self, totals: CallerTotals) -> None:
+        self._log.event(
+            "callers.limited",
+            evictions=totals.evictions,
+            connections_closed=totals.connections_closed,
+            connections=totals.connections,
+            held_bytes=totals.held_bytes,
+            limit_bytes=totals.limit_bytes,
+        )
+
     def _sums_work(self) -> bool:
         """Returns whether relays sum the work of all nodes.
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/reply.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/reply.py
@@ -14,7 +14,10 @@
         """Whether the status line was sent."""
 
     async def send_response(
-        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        body: bytes | bytearray,
     ) -> None:
         """Sends a complete response."""
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -99,6 +99,9 @@
       stop_grace_s: Time from SIGTERM to SIGKILL in seconds.
       link_mbps: Rate of the network link in Mbit/s; 0 if unknown.
       cores: Processor cores, also fractions; 0 if unknown.
+      memory_mb: Memory of the process in MB; 0 if unknown.
+      max_descriptors: File descriptors that the process may open; 0 for what
+          the system allows.
     """
 
     name: str
@@ -118,6 +121,8 @@
     stop_grace_s: float = 8.0
     link_mbps: float = 0.0
     cores: float = 0.0
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
 
     @property
     def relay_candidate(self) -> RelayCandidate:
--- /dev/null
+++ b/packages/guavalane-entry/src/guavalane_entry/large_bodies.py
@@ -0,0 +1,59 @@
+"""Sending of large bodies without copies of them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.payload import Payload
+
+from guavalane_core.limits.body_memory import ORDINARY_BODY_BYTES
+
+# Size of the slices of a large body, in bytes. The HTTP library waits for the
+# connection after more than 64 KiB.
+SLICE_BYTES = 128 * 1024
+
+
+def slices_of(body: bytes | bytearray) -> Iterator[memoryview]:
+    """Yields a body in slices that refer to it."""
+    view = memoryview(body)
+    for start in range(0, len(view), SLICE_BYTES):
+        yield view[start : start + SLICE_BYTES]
+
+
+class SlicedPayload(Payload):
+    """Body that is written in slices.
+
+    aiohttp joins a body of bytes with the head, which copies it, and queues all
+    of it for the connection.
+
+    Args:
+      body: Body.
+    """
+
+    def __init__(self, body: bytes | bytearray) -> None:
+        super().__init__(body, content_type="application/octet-stream")
+        self._size = len(body)
+
+    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
+        """Returns the body as text."""
+        return self._value.decode(encoding, errors)
+
+    async def write(self, writer: AbstractStreamWriter) -> None:
+        """Writes the body."""
+        for part in slices_of(self._value):
+            await writer.write(part)
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Writes the body, whose length is always the announced one."""
+        del content_length
+        await self.write(writer)
+
+
+def payload_of(body: bytes | bytearray) -> bytes | SlicedPayload | None:
+    """Returns what aiohttp sends as a body; None for an empty one."""
+    if len(body) > ORDINARY_BODY_BYTES:
+        return SlicedPayload(body)
+    return bytes(body) or None
--- a/packages/guavalane-entry/tests/gateway/test_endless_responses.py
+++ b/packages/guavalane-entry/tests/gateway/test_endless_responses.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from guavalane_entry.gateway import endpoint_client
+from guavalane_core.limits.body_memory import BodyMemory
+from guavalane_core.timers import LoopTimers
+from guavalane_entry.caller_bounds import CallerBounds
 from guavalane_entry.gateway.endpoint_client import (
-    BodyBuffers,
     BrokenResponseError,
     EndpointClient,
 )
@@ -70,13 +71,14 @@
                     == b"ok"
                 )
 
-    async def test_endless_bodies_do_not_exhaust_the_memory(
-        self, client, monkeypatch
-    ):
+    async def test_endless_bodies_do_not_exhaust_the_memory(self):
         """Guards against many endless bodies below the limit of one."""
-        monkeypatch.setattr(endpoint_client, "MAX_BUFFERED_BYTES", 400_000)
+        bounds = CallerBounds(LoopTimers())
+        bounds.memory = BodyMemory(400_000)
+        client = EndpointClient(bounds)
         servers = [EndlessServer(*BODIES["no length"]) for _ in range(4)]
         async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(client.close)
             for server in servers:
                 await stack.enter_async_context(server)
             results = await asyncio.gather(
@@ -87,24 +89,4 @@
                 return_exceptions=True,
             )
         assert all(isinstance(r, BrokenResponseError) for r in results)
-
-
-class TestBodyBuffers:
-    """Guards against whole bodies that are broken off for endless ones."""
-
-    def test_a_small_body_is_kept_while_memory_is_short(self, monkeypatch):
-        monkeypatch.setattr(endpoint_client, "MAX_BUFFERED_BYTES", 1000)
-        buffers = BodyBuffers()
-        small, large = bytearray(10), bytearray(2000)
-        with buffers.track(small), buffers.track(large):
-            assert not buffers.is_too_large(small)
-            assert buffers.is_too_large(large)
-
-    def test_memory_is_free_again_after_a_body(self, monkeypatch):
-        monkeypatch.setattr(endpoint_client, "MAX_BUFFERED_BYTES", 1000)
-        buffers = BodyBuffers()
-        with buffers.track(bytearray(900)):
-            pass
-        body = bytearray(900)
-        with buffers.track(body):
-            assert not buffers.is_too_large(body)
+        assert bounds.memory.held_bytes == 0
