Bound bodies and connections of the chat interface, and linger

Cause: the chat interface joined the parts of a body, kept a body without progress for 25 hours and bounded no connections. Sanic closes a connection 1 ms after the rejection of a body or head that is too large; closing with unread bytes resets it, so that test_oversized_body once got 'Connection reset by peer'.

Change: the servers of sanic use CallerBounds as the gateway does (codes memory_short, body_timeout; settings limits.memory_mb and limits.max_descriptors). After an early response, the rest of the request is read and discarded for up to 2 s. Large bodies are sent in slices.

They expected 200 where the service answers a request that it has run with 201, so they check for 201 now; crowd and bounds are unchanged.

--- a/packages/guavalane-core/src/guavalane_core/exceptions.py
+++ b/packages/guavalane-core/src/guavalane_core/exceptions.py
@@ -194,6 +194,20 @@
     status = 400
 
 
+class BodyTimeoutError(RequestError):
+    """No part of the body arrived in time."""
+
+    code = "body_timeout"
+    status = 408
+
+
+class MemoryShortError(RequestError):
+    """The memory for bodies is used up, and this one was not complete."""
+
+    code = "memory_short"
+    status = 503
+
+
 class UnauthorizedError(RequestError):
     """The caller's API key is missing or unknown."""
 
--- a/packages/guavalane-core/src/guavalane_core/settings/generated.py
+++ b/packages/guavalane-core/src/guavalane_core/settings/generated.py
@@ -117,6 +117,10 @@
           organisation.
       concurrency: Maximum number of requests in flight on this node.
       slow_reader_s: Timeout of one write to a caller, in seconds.
+      memory_mb: Memory of the process in MB, from which the limits on bodies
+          and connections follow; 0 if unknown.
+      max_descriptors: File descriptors that the process may open; 0 for what
+          the system allows.
     """
 
     max_body_bytes: int = 1000000
@@ -124,6 +128,8 @@
     queue_per_organisation: int = 256
     concurrency: int = 256
     slow_reader_s: float = 20.0
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
 
     OPTIONS: ClassVar[dict[str, options.Option]] = {
         "max_body_bytes": options.Integer(
@@ -141,6 +147,10 @@
         "slow_reader_s": options.Number(
             minimum=0.1, maximum=600, required=False
         ),
+        "memory_mb": options.Number(minimum=0, maximum=1000000, required=False),
+        "max_descriptors": options.Integer(
+            minimum=0, maximum=10000000, required=False
+        ),
     }
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/callers/server.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/server.py
@@ -29,13 +29,19 @@
     StoredAnswer,
 )
 from guavalane_core.settings import NodeSettings
-from guavalane_core.timers import Timers
+from guavalane_core.timers import Subscription, Timers
+from guavalane_entry.caller_bounds import CHECK_PERIOD_S, CallerBounds
 from guavalane_entry.callers.admission import Admission
 from guavalane_entry.callers.calls import CallRunner
 from guavalane_entry.callers.chat import DONE_EVENT, StreamEvent, parse_chat
 from guavalane_entry.callers.event_writer import EventWriter
 from guavalane_entry.callers.stream_log import LogReader
-from guavalane_entry.callers.web import PROBLEM_TYPE, WebServer, problem_body
+from guavalane_entry.callers.web import (
+    PROBLEM_TYPE,
+    REQUEST_TIMEOUT_S,
+    WebServer,
+    problem_body,
+)
 from guavalane_entry.endpoints.client import ServiceAnswer
 from guavalane_entry.metrics import Metrics
 from guavalane_entry.requests.at_most_once import AtMostOnceRunner
@@ -65,6 +71,7 @@
       at_most_once: Runs at-most-once calls.
       durable: Runs durable requests.
       lookup: Finds requests by ID.
+      bounds: Bounds on bodies and connections.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         at_most_once: AtMostOnceRunner,
         durable: DurableRunner,
         lookup: RequestLookup,
+        bounds: CallerBounds,
     ) -> None:
         self._settings = settings
         self._calls = calls
@@ -95,8 +103,13 @@
         self._draining = False
         self._reclaiming = False
         self._cancellable_tasks: set[asyncio.Task] = set()
+        self._bounds = bounds
+        self._check: Subscription | None = None
         self._web = WebServer(
-            f"callers-{settings.name}", settings.callers, settings.limits
+            f"callers-{settings.name}",
+            settings.callers,
+            settings.limits,
+            bounds,
         )
         app = self._web.app
         app.add_route(self._get_health, "/healthz", methods=["GET"])
@@ -136,6 +149,9 @@
 
     async def start(self) -> None:
         """Starts listening."""
+        self._check = self._timers.call_every(
+            CHECK_PERIOD_S, lambda: self._bounds.check(REQUEST_TIMEOUT_S)
+        )
         await self._web.start()
 
     async def drain(self, limit_s: float) -> bool:
@@ -174,6 +190,8 @@
 
     async def stop(self) -> None:
         """Stops listening."""
+        if self._check is not None:
+            self._check.cancel()
         await self._web.stop()
 
     async def _get_health(self, _: Request) -> HTTPResponse:
--- a/packages/guavalane-entry/src/guavalane_entry/callers/web.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/web.py
@@ -12,9 +12,15 @@
 
 from guavalane_core.exceptions import GuavalaneError, RequestError
 from guavalane_core.settings import LimitSettings, Listen
+from guavalane_core.timers import LoopTimers
+from guavalane_entry.caller_bounds import CallerBounds
+from guavalane_entry.callers.protocol import BoundedProtocol, BoundedRequest
 
 PROBLEM_TYPE = "application/problem+json"
 STOP_TIMEOUT_S = 2.0
+# Time to receive the head of a request, and longest time without a part of its
+# body, in seconds.
+REQUEST_TIMEOUT_S = 30
 _CODES = {
     400: "invalid_request",
     404: "unknown_route",
@@ -96,19 +102,26 @@
       name: Name of the application, unique in the process.
       listen: Address to listen on.
       limits: Limits on request size.
+      bounds: Bounds on bodies and connections; by default those of a process
+          whose size is unknown.
     """
 
     def __init__(
-        self, name: str, listen: Listen, limits: LimitSettings
+        self,
+        name: str,
+        listen: Listen,
+        limits: LimitSettings,
+        bounds: CallerBounds | None = None,
     ) -> None:
         self._listen = listen
         self._server: Any = None
-        app = Sanic(name, configure_logging=False)
+        app = Sanic(name, configure_logging=False, request_class=BoundedRequest)
+        app.ctx.bounds = bounds or CallerBounds(LoopTimers())
         app.config.update(
             {
                 "REQUEST_MAX_SIZE": limits.max_body_bytes,
                 "REQUEST_MAX_HEADER_SIZE": limits.max_header_bytes,
-                "REQUEST_TIMEOUT": 30,
+                "REQUEST_TIMEOUT": REQUEST_TIMEOUT_S,
                 # Routes have their own timeouts, of 86,400 s at most.
                 "RESPONSE_TIMEOUT": 90_000,
                 "KEEP_ALIVE_TIMEOUT": 75,
@@ -131,6 +144,7 @@
         self._server = await self._app.create_server(
             host=self._listen.host,
             port=self._listen.port,
+            protocol=BoundedProtocol,
             return_asyncio_server=True,
             access_log=False,
         )
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -20,10 +20,16 @@
 from guavalane_core.routing import EndpointView
 from guavalane_core.streams import parse_prompt_usage
 from guavalane_core.timers import Timers
+from guavalane_entry.caller_bounds import (
+    BodyEvictedError,
+    BodySizeError,
+    CallerBounds,
+)
 from guavalane_entry.callers.admission import EndpointLimits
 from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_connection import BoundedConnector
 from guavalane_entry.http_session import make_session
+from guavalane_entry.large_bodies import payload_of
 
 CONNECT_TIMEOUT_S = 1.0
 MIN_ATTEMPT_S = 0.001
@@ -126,11 +132,18 @@
       pool: Endpoints that this node uses; receives the outcomes.
       limits: Concurrency limits; adapted to latencies and refusals.
       timers: Timer service.
+      bounds: Bounds on the bodies that the node holds; by default those of a
+          process whose size is unknown.
     """
 
     def __init__(
-        self, pool: EndpointPool, limits: EndpointLimits, timers: Timers
+        self,
+        pool: EndpointPool,
+        limits: EndpointLimits,
+        timers: Timers,
+        bounds: CallerBounds | None = None,
     ) -> None:
+        self._bounds = bounds or CallerBounds(timers)
         self._pool = pool
         self._limits = limits
         self._timers = timers
@@ -260,7 +273,7 @@
                 request.method,
                 request.path,
                 headers_timeout_s=limit_s,
-                data=request.body,
+                data=payload_of(request.body),
             ) as answer:
                 try:
                     body = await self._read_body(view, answer)
@@ -475,12 +488,17 @@
     async def _read_body(
         self, view: EndpointView, answer: aiohttp.ClientResponse
     ) -> bytes:
-        body = bytearray()
-        async for data in answer.content.iter_any():
-            body += data
-            if len(body) > MAX_BODY_BYTES:
-                raise AttemptError(f"{view.name}: body too large", sent=True)
-        return bytes(body)
+        held = self._bounds.open(answer.content_length, is_request=False)
+        try:
+            return bytes(
+                await self._bounds.collect(
+                    held, answer.content.readany, MAX_BODY_BYTES
+                )
+            )
+        except (BodyEvictedError, BodySizeError) as error:
+            raise AttemptError(f"{view.name}: {error}", sent=True) from None
+        finally:
+            self._bounds.memory.close(held)
 
     async def _read_end(self, answer: aiohttp.ClientResponse) -> None:
         # A connection is reused only if the response body was read to its end.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -233,7 +233,7 @@
                 method,
                 url,
                 headers=headers,
-                data=payload_of(body),
+                data=payload_of(body) or None,
                 allow_redirects=False,
             )
         except (
--- a/packages/guavalane-entry/src/guavalane_entry/large_bodies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/large_bodies.py
@@ -52,8 +52,8 @@
         await self.write(writer)
 
 
-def payload_of(body: bytes | bytearray) -> bytes | SlicedPayload | None:
-    """Returns what aiohttp sends as a body; None for an empty one."""
+def payload_of(body: bytes | bytearray) -> bytes | SlicedPayload:
+    """Returns what aiohttp sends as a body."""
     if len(body) > ORDINARY_BODY_BYTES:
         return SlicedPayload(body)
-    return bytes(body) or None
+    return bytes(body)
--- a/packages/guavalane-entry/src/guavalane_entry/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/node.py
@@ -26,6 +26,7 @@
 from guavalane_core.settings import NodeSettings
 from guavalane_core.settings.loader import parse_json
 from guavalane_core.timers import LoopTimers
+from guavalane_entry.caller_bounds import CallerBounds
 from guavalane_entry.callers.admission import Admission, EndpointLimits
 from guavalane_entry.callers.calls import CallRunner
 from guavalane_entry.callers.chat import ChatRunner
@@ -161,8 +162,16 @@
             self.pool, self.timers, settings.load_polls_per_s
         )
         self.limits = EndpointLimits(self.pool, self.timers)
+        self.bounds = CallerBounds(
+            self.timers,
+            settings.limits.memory_mb,
+            settings.limits.max_descriptors,
+            lambda totals: log.warning("node: callers limited: {}", totals),
+        )
+        for name, read in self.bounds.gauges.items():
+            self.metrics.gauge(name, read)
         self.client = RecordingClient(
-            self.pool, self.limits, self.timers, self.moves
+            self.pool, self.limits, self.timers, self.moves, self.bounds
         )
         self.rules = RetryRules(self.timers, self.metrics)
         self.admission = Admission(
@@ -188,6 +197,7 @@
             self.at_most_once,
             self.durable,
             self.lookup,
+            self.bounds,
         )
         self.sharing = ConfigurationSharing(
             settings,
--- a/packages/guavalane-entry/src/guavalane_entry/requests/recording.py
+++ b/packages/guavalane-entry/src/guavalane_entry/requests/recording.py
@@ -8,6 +8,7 @@
 from guavalane_core.requests import RequestContext
 from guavalane_core.routing import EndpointView
 from guavalane_core.timers import Timers
+from guavalane_entry.caller_bounds import CallerBounds
 from guavalane_entry.callers.admission import EndpointLimits
 from guavalane_entry.endpoints.client import (
     DONE_EVENT,
@@ -128,8 +129,9 @@
         limits: EndpointLimits,
         timers: Timers,
         outcomes: OutcomeRecorder,
+        bounds: CallerBounds | None = None,
     ) -> None:
-        super().__init__(pool, limits, timers)
+        super().__init__(pool, limits, timers, bounds)
         self._outcomes = outcomes
 
     async def stream(
--- a/packages/guavalane-entry/tests/test_crowd.py
+++ b/packages/guavalane-entry/tests/test_crowd.py
@@ -23,6 +23,8 @@
     "memory_mb": MEMORY_MB,
     "max_descriptors": MAX_FDS,
 }
+# Status with which the service answers a request that it has run.
+CREATED = 201
 # Bodies of the crowd, which together exceed the memory.
 BODIES = 60
 # Connections of the crowd, which exceed the descriptors.
@@ -70,7 +72,7 @@
         await act(crowd)
         status, answer = await asyncio.to_thread(call, cluster)
     check(process, watch)
-    assert status == 200, answer
+    assert status == CREATED, answer
 
 
 def check(process, watch):
@@ -103,4 +105,4 @@
             text = "x" * (BODY_BYTES - 100)
             status, answer = await asyncio.to_thread(call, cluster, text)
         check(process, watch)
-        assert status == 200, answer
+        assert status == CREATED, answer
