--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -12,6 +12,7 @@
 from guavalane_core.forwarding import CallerLimits, ForwardingConfiguration
 from guavalane_core.objects import MemoryObjectApi
 from guavalane_core.timers import LoopTimers
+from guavalane_entry.caller_bounds import CallerBounds
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.components import GatewayComponents
 from guavalane_entry.gateway.crash_monitor import CrashMonitor
@@ -72,9 +73,15 @@
 
     Args:
       configuration: Active configuration; None for an unconfigured node.
+      bounds: Bounds on bodies and connections; by default those of a process
+          whose size is unknown.
     """
 
-    def __init__(self, configuration: ForwardingConfiguration | None) -> None:
+    def __init__(
+        self,
+        configuration: ForwardingConfiguration | None,
+        bounds: CallerBounds | None = None,
+    ) -> None:
         listen = Address("127.0.0.1", free_port())
         settings = make_settings(address=listen)
         timers = LoopTimers()
@@ -85,7 +92,8 @@
             self.view.update_configuration(configuration)
         self.metrics = Metrics()
         self.log = DecisionLog("n1", timers.wall)
-        self.endpoint_client = EndpointClient()
+        bounds = bounds or CallerBounds(timers)
+        self.endpoint_client = EndpointClient(bounds)
         codec = RequestCodec(NAMES)
         self.quarantine = QuarantineService(
             self.view,
@@ -119,6 +127,7 @@
             self._limits,
             self.forwarder.forward,
             self.view.stop_deadline,
+            bounds,
         )
         self.address = str(listen)
         self._endpoints: list[ScriptedEndpoint] = []
