--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
+from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
@@ -58,6 +59,13 @@
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+# Bytes without the end of a header after which a connection is closed; more
+# than any configured limit. The HTTP library limits lines, not their sum.
+MAX_HEADER_BYTES = 128 * 1024
+HEADER_SIZE_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 # Time for connections to close on shutdown, in seconds. aiohttp treats 0 as no
 # limit.
 CLOSE_TIMEOUT_S = 0.1
@@ -229,6 +237,9 @@
         self._timers = timers
         self._unanswered = unanswered
         self._header_since_s: float | None = None
+        self._header_bytes = 0
+        # Body of an answered request whose rest is discarded.
+        self._discarded: StreamReader | None = None
         self._handled = False
         # Whether the header of a request was read whose handler has not
         # started.
@@ -257,16 +268,38 @@
     def data_received(self, data: bytes) -> None:
         """Processes bytes from a caller."""
         self._bounds.connections.on_progress(self)
-        self._unanswered.add(self)
+        # The HTTP library passes no bytes when it resumes the parser.
+        is_header = bool(data) and not self._discards()
+        if is_header:
+            self._unanswered.add(self)
         super().data_received(data)
+        if not (is_header or self._messages):
+            return
+        self._unanswered.add(self)
         if self._messages:
             self._has_queued_request = True
         if self._handled or self._has_queued_request:
             # A pause before its handler starts must not count as header time:
             # the handler runs even if the connection was closed with 408.
             self._header_since_s = None
-        elif self._header_since_s is None:
+            self._header_bytes = 0
+        else:
+            self._receive_header(len(data))
+
+    def _discards(self) -> bool:
+        """Returns whether the rest of an answered request still arrives."""
+        if self._discarded is not None and self._discarded.is_eof():
+            self._discarded = None
+        return self._discarded is not None
+
+    def _receive_header(self, size_bytes: int) -> None:
+        """Counts bytes of a header that is not complete."""
+        if self._header_since_s is None:
             self._header_since_s = self._timers.now()
+        self._header_bytes += size_bytes
+        if self._header_bytes > MAX_HEADER_BYTES:
+            log.info("listener: a header exceeds {} bytes", MAX_HEADER_BYTES)
+            self._end_header(HEADER_SIZE_RESPONSE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Discards a request that no handler has started."""
@@ -292,8 +325,13 @@
         if self._reply is not None:
             self._reply.abort()
 
-    def end_request(self) -> None:
-        """Records that a request was answered."""
+    def end_request(self, body: StreamReader) -> None:
+        """Records that a request was answered.
+
+        Args:
+          body: Body of the request.
+        """
+        self._discarded = body
         self._bounds.connections.release(self)
         self._handled = False
         self._reply = None
@@ -302,9 +340,13 @@
 
     def time_out_header(self) -> None:
         """Closes the connection with 408, as its header takes too long."""
+        self._end_header(HEADER_TIMEOUT_RESPONSE)
+
+    def _end_header(self, response: bytes) -> None:
+        """Closes the connection with a response to an incomplete header."""
         self._header_since_s = None
         if self.transport is not None:
-            self.transport.write(HEADER_TIMEOUT_RESPONSE)
+            self.transport.write(response)
         self.force_close()
 
 
@@ -455,7 +497,7 @@
         try:
             await self._answer(request, reply)
         finally:
-            request.protocol.end_request()
+            request.protocol.end_request(request.content)
         # aiohttp expects a response even for an aborted connection; it is
         # dropped.
         response = reply.response or Response(status=502)
--- a/packages/guavalane-entry/tests/gateway/test_bad_input.py
+++ b/packages/guavalane-entry/tests/gateway/test_bad_input.py
@@ -190,6 +190,38 @@
             # Both requests used the same connection.
             assert len(rig.listener.connections) == 1
 
+    async def test_an_endless_header_is_broken_off(self):
+        """Guards against headers that fill the memory within their time."""
+        async with GatewayRig(CONFIGURATION) as rig:
+            reader, writer = await open_connection_to(rig)
+            # Fewer lines than the library allows, each shorter than it allows.
+            writer.write(HEAD + b"X-1: %b\r\nX-2: " % (b"a" * 60_000))
+            await asyncio.sleep(0.05)
+            writer.write(b"%b\r\nX-3: %b" % (b"a" * 60_000, b"a" * 30_000))
+            async with asyncio.timeout(10.0):
+                received = await reader.read()
+            writer.close()
+            assert received.startswith(b"HTTP/1.1 431")
+            assert received.endswith(b"Connection: close\r\n\r\n")
+
+    async def test_the_rest_of_a_rejected_body_is_no_slow_header(self):
+        """Guards against a 408 on a connection that waits for a request."""
+        limits = attrs.evolve(LIMITS, header_timeout_s=0.3)
+        configuration = attrs.evolve(CONFIGURATION, limits=limits)
+        async with GatewayRig(configuration) as rig:
+            await rig.add_endpoint(answer)
+            reader, writer = await open_connection_to(rig)
+            writer.write(HEAD + b"Content-Length: 2000\r\n\r\n" + b"x" * 1000)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 413")
+            length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+            await reader.readexactly(length)
+            writer.write(b"x" * 1000)
+            await asyncio.sleep(0.9)
+            writer.write(HEAD + b"Content-Length: 1\r\n\r\nx")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+            writer.close()
+
     async def test_a_large_body_is_rejected(self):
         async with GatewayRig(CONFIGURATION) as rig:
             endpoint = await rig.add_endpoint(answer)
