Draw allotments by urgency while they are short

Cause: requests drew in order of arrival, whatever their urgency. In a burst a third of the requests was rejected with 429, urgent ones like the others; a single node served nearly none of the largest tenth; 70 nodes each drew a large request at the moment when the bucket had paid its debt.

Change: requests draw in classes of route priority and latency objective. A request may wait an eighth of its objective.

--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Mapping, Sequence
 
-from guavalane_core.allotments.allotment import SharedAllotment
+from guavalane_core.allotments.allotment import Draw, SharedAllotment
+from guavalane_core.allotments.classes import DrawClass
 from guavalane_core.forwarding.configuration import Organisation
 from guavalane_core.forwarding.request import Prompt
 
@@ -31,6 +33,7 @@
       tolerance_burst: Additional units of each burst that are admitted.
       started_s: Monotonic time of the start of the process, in seconds; minus
           infinity if no process has run before.
+      rng: Random number generator.
     """
 
     def __init__(
@@ -38,7 +41,9 @@
         tolerance_ratio: float = 0.0,
         tolerance_burst: float = 0.0,
         started_s: float = -math.inf,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self.set_tolerance(tolerance_ratio, tolerance_burst)
         self._started_s = started_s
         self._allotments: dict[str, SharedAllotment] = {}
@@ -79,7 +84,7 @@
                 self._allotments[name].set_limits(*limits, now_s)
             else:
                 self._allotments[name] = SharedAllotment(
-                    *limits, now_s, empty_s
+                    *limits, now_s, empty_s, self._rng
                 )
 
     def set_share(self, share: float, now_s: float) -> None:
@@ -99,12 +104,57 @@
             self._drawn[name] = self._drawn.get(name, 0) + units
         return wait_s
 
-    def refund(self, name: str, units: int, now_s: float) -> None:
+    def draw(
+        self,
+        name: str,
+        units: int,
+        draw_class: DrawClass,
+        now_s: float,
+        max_wait_s: float = 0.0,
+    ) -> Draw:
+        """Draws units of an organisation; see `SharedAllotment.draw`."""
+        allotment = self._allotments.get(name)
+        if allotment is None:
+            return Draw(True)
+        allotment.set_nodes(len(self._reported) + 1)
+        draw = allotment.draw(units, draw_class, now_s, max_wait_s)
+        if draw.is_drawn:
+            self._drawn[name] = self._drawn.get(name, 0) + units
+        return draw
+
+    def retry_after_s(
+        self,
+        name: str,
+        units: int,
+        draw_class: DrawClass,
+        now_s: float,
+        wait_s: float,
+        max_s: float,
+    ) -> float:
+        """Returns when to return; see `SharedAllotment.retry_after_s`."""
+        return self._allotments[name].retry_after_s(
+            units, draw_class, now_s, wait_s, max_s
+        )
+
+    def rationed(self) -> dict[str, int]:
+        """Returns 1 for each organisation whose inflow is rationed, else 0."""
+        return {
+            name: int(allotment.is_rationed)
+            for name, allotment in self._allotments.items()
+        }
+
+    def refund(
+        self,
+        name: str,
+        units: int,
+        now_s: float,
+        draw_class: DrawClass | None = None,
+    ) -> None:
         """Refunds the units of a request that has not run and will not run."""
         allotment = self._allotments.get(name)
         if allotment is None or name not in self._drawn:
             return
-        allotment.refund(units, now_s)
+        allotment.refund(units, now_s, draw_class=draw_class)
         self._drawn[name] -= units
 
     def level(self, name: str) -> float:
--- a/packages/guavalane-core/tests/test_allotments.py
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from guavalane_core.allotments import AllotmentLedger, SharedAllotment
+from guavalane_core.allotments import (
+    AllotmentLedger,
+    DrawClass,
+    SharedAllotment,
+)
 from guavalane_core.allotments.ledger import request_units
 from guavalane_core.forwarding import Organisation
 from guavalane_standins.forwarding_samples import make_prompt
@@ -431,3 +435,23 @@
         assert request_units(organisation, make_prompt(1000)) == 1100
         assert request_units(organisation, None) == 200
         assert request_units(Organisation("o", frozenset()), None) == 1
+
+
+class TestDrawsByClass(TestAllotmentLedger):
+    """Guards against urgency that lets nodes draw beyond the allotment.
+
+    The tests are those of draws in order of arrival.
+    """
+
+    @pytest.fixture(autouse=True)
+    def draw_by_class(self, monkeypatch):
+        """Makes each size a class, in all orders of urgency."""
+        draw = AllotmentLedger.draw
+        rng = random.Random(1)
+
+        def try_draw(ledger, name, units, now_s):
+            draw_class = DrawClass(rng.randrange(3), 1.0 + units / 12_000)
+            result = draw(ledger, name, units, draw_class, now_s, 0.25)
+            return 0.0 if result.is_drawn else max(result.wait_s, 1e-3)
+
+        monkeypatch.setattr(AllotmentLedger, "try_draw", try_draw)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/admission.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from guavalane_core.allotments import Draw, DrawClass, DrawReason
 from guavalane_core.allotments.ledger import request_units
 from guavalane_core.forwarding import (
     CallerRequest,
@@ -34,6 +35,13 @@
 STOPPING_RETRY_S = 0.05
 # Longest Retry-After for an exhausted allotment, in seconds.
 MAX_ALLOTMENT_RETRY_S = 5.0
+# Shortest Retry-After for an exhausted allotment, in seconds.
+MIN_ALLOTMENT_RETRY_S = 0.05
+# Fraction of the time left up to which callers honour Retry-After.
+USABLE_RETRY_FRACTION = 1 / 3
+# Fraction of its latency objective for which a request may wait before it is
+# sent.
+WAIT_FRACTION = 1 / 8
 # Longest Retry-After for limited endpoints, in seconds.
 MAX_LIMIT_RETRY_S = 5.0
 # Shortest Retry-After for a quarantined part, in seconds.
@@ -55,6 +63,7 @@
       version: Version of the configuration that was applied.
       parts: What the request has in common with others.
       is_trial: Whether it tries a quarantined part on purpose.
+      wait_s: Time until its units have flowed into the allotment, in seconds.
     """
 
     route: Route
@@ -64,6 +73,7 @@
     version: int
     parts: RequestParts
     is_trial: bool = False
+    wait_s: float = 0.0
 
     @property
     def is_stream(self) -> bool:
@@ -122,6 +132,80 @@
     return EndpointsLimitedError(waits_s, with_jitter(view, retry_after_s))
 
 
+def time_left_s(view: NodeView, request: CallerRequest, route: Route) -> float:
+    """Returns the time until the deadline of a request, in seconds."""
+    limit_s = route.timeout_s
+    if request.time_limit_s is not None:
+        limit_s = min(limit_s, request.time_limit_s)
+    return max(0.0, request.arrived_s + limit_s - view.timers.now())
+
+
+def make_draw_class(route: Route) -> DrawClass:
+    """Returns the urgency with which requests of a route draw units.
+
+    An organisation's own priority is the same for all of its requests, so only
+    the routes' tell them apart.
+    """
+    return DrawClass(route.priority, route.latency_objective_s)
+
+
+def _draw(
+    view: NodeView,
+    request: CallerRequest,
+    route: Route,
+    organisation: Organisation,
+    units: int,
+) -> float:
+    """Draws units; returns the time until they have flowed in, in seconds.
+
+    Raises:
+      AllotmentSpentError: The units cannot be drawn.
+    """
+    left_s = time_left_s(view, request, route)
+    draw = view.allotments.draw(
+        organisation.name,
+        units,
+        make_draw_class(route),
+        view.timers.now(),
+        min(route.latency_objective_s, left_s) * WAIT_FRACTION,
+    )
+    if not draw.is_drawn:
+        raise _make_spent_error(view, route, organisation, units, draw, left_s)
+    return draw.wait_s
+
+
+def _make_spent_error(
+    view: NodeView,
+    route: Route,
+    organisation: Organisation,
+    units: int,
+    draw: Draw,
+    left_s: float,
+) -> AllotmentSpentError:
+    max_s = min(MAX_ALLOTMENT_RETRY_S, left_s * USABLE_RETRY_FRACTION)
+    retry_after_s = view.allotments.retry_after_s(
+        organisation.name,
+        units,
+        make_draw_class(route),
+        view.timers.now(),
+        draw.wait_s,
+        max_s / (1 + RETRY_JITTER),
+    )
+    left = view.allotments.level(organisation.name)
+    state = (
+        "kept for more urgent requests"
+        if draw.reason is DrawReason.RESERVED
+        else "used up"
+    )
+    return AllotmentSpentError(
+        f"the allotment of {organisation.name} is {state}: the request"
+        f" counts {units}, {left:.0f} are left,"
+        f" {organisation.rate_per_s:g}/s flow in",
+        with_jitter(view, max(MIN_ALLOTMENT_RETRY_S, retry_after_s)),
+        draw.reason.value,
+    )
+
+
 def admit(
     view: NodeView, request: CallerRequest, *, is_trial: bool = False
 ) -> AdmittedRequest:
@@ -159,20 +243,10 @@
     quarantine = view.quarantines.find(parts)
     if quarantine is not None and not is_trial:
         raise make_quarantined_error(view, quarantine)
-    units = 0
+    units, wait_s = 0, 0.0
     if organisation is not None:
         units = request_units(organisation, request.prompt)
-        wait_s = view.allotments.try_draw(
-            organisation.name, units, view.timers.now()
-        )
-        if wait_s > 0:
-            left = view.allotments.level(organisation.name)
-            raise AllotmentSpentError(
-                f"the allotment of {organisation.name} is used up: the request"
-                f" counts {units}, {left:.0f} are left,"
-                f" {organisation.rate_per_s:g}/s flow in",
-                with_jitter(view, min(wait_s, MAX_ALLOTMENT_RETRY_S)),
-            )
+        wait_s = _draw(view, request, route, organisation, units)
     return AdmittedRequest(
         route,
         service,
@@ -181,6 +255,7 @@
         table.configuration.version,
         parts,
         is_trial,
+        wait_s,
     )
 
 
@@ -188,5 +263,8 @@
     """Returns the units of a request that has not run to its allotment."""
     if admitted.organisation is not None:
         view.allotments.refund(
-            admitted.organisation.name, admitted.units, view.timers.now()
+            admitted.organisation.name,
+            admitted.units,
+            view.timers.now(),
+            make_draw_class(admitted.route),
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/errors.py
@@ -108,11 +108,28 @@
 
 
 class AllotmentSpentError(RefusalError):
-    """The organisation has exhausted its allotment."""
+    """The organisation has exhausted its allotment.
+
+    Attributes:
+      draw: `exhausted`, or `reserved` if the units that are left are kept for
+        more urgent requests.
+    """
 
     code = "allotment_spent"
     status = 429
 
+    def __init__(self, message: str, retry_after_s: float, draw: str) -> None:
+        super().__init__(message, retry_after_s)
+        self.draw = draw
+
+    @property
+    def log_fields(self) -> dict[str, Any]:
+        """Further fields of the log line of the rejection."""
+        return {
+            "draw": self.draw,
+            "retry_after_s": round(self.retry_after_s, 3),
+        }
+
 
 class UnknownRouteError(RefusalError):
     """No route matches the host and path."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from guavalane_core.forwarding import CallerRequest
-from guavalane_entry.gateway.admission import AdmittedRequest, admit
+from guavalane_entry.gateway.admission import AdmittedRequest, admit, refund
 from guavalane_entry.gateway.components import GatewayComponents
-from guavalane_entry.gateway.errors import QuarantinedError, RefusalError
+from guavalane_entry.gateway.errors import (
+    AllotmentSpentError,
+    QuarantinedError,
+    RefusalError,
+)
 from guavalane_entry.gateway.exchange import Exchange
 from guavalane_entry.gateway.problems import refuse
 from guavalane_entry.gateway.reply import Reply
@@ -26,10 +30,39 @@
         try:
             admitted = self._admit(request)
         except RefusalError as error:
+            if isinstance(error, AllotmentSpentError):
+                self._components.metrics.count("allotment_refusals", error.draw)
             await refuse(self._components, request, reply, error)
             return
+        if admitted.wait_s > 0:
+            await self._wait_for_units(request, admitted)
         await Exchange(self._components, request, admitted, reply).run()
 
+    async def _wait_for_units(
+        self, request: CallerRequest, admitted: AdmittedRequest
+    ) -> None:
+        """Waits until the units of a request have flowed in.
+
+        The wait is shorter than the reserve at the end of a stop. The exchange
+        rejects the request if it could not end before the stop.
+        """
+        components = self._components
+        route = admitted.route.name
+        components.metrics.record("allotment_wait", route, admitted.wait_s)
+        components.log.request(
+            "request.delayed",
+            request.request_id,
+            route=route,
+            units=admitted.units,
+            wait_s=round(admitted.wait_s, 3),
+        )
+        try:
+            await components.view.timers.sleep(admitted.wait_s)
+        except BaseException:
+            # The caller disconnected, so the request does not run.
+            refund(components.view, admitted)
+            raise
+
     def _admit(self, request: CallerRequest) -> AdmittedRequest:
         view = self._components.view
         try:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -347,6 +347,7 @@
                 "heard": len(self._reports.live_peers()),
             },
             "allotment_drawn_units": lambda: dict(view.allotments.drawn),
+            "allotment_rationed": view.allotments.rationed,
             "quarantined_parts": lambda: {
                 "": len(view.quarantines.quarantines)
             },
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -66,7 +66,7 @@
         self._prefixes = PrefixDirectory()
         self._ejector = OutlierEjector()
         self._started_s = timers.now() if started_s is None else started_s
-        self._allotments = AllotmentLedger(started_s=self._started_s)
+        self._allotments = AllotmentLedger(started_s=self._started_s, rng=rng)
         self._apply_tolerance()
         self._clock = MedianClock(timers)
         self._usage = UsageCounts(settings.usage_window_s)
--- /dev/null
+++ b/packages/guavalane-entry/tests/gateway/test_allotment_draws.py
@@ -0,0 +1,64 @@
+"""Tests of requests that wait for units or leave them to others."""
+
+from __future__ import annotations
+
+import attrs
+
+from guavalane_core.forwarding import Organisation
+from guavalane_standins.forwarding_samples import (
+    make_configuration,
+    make_route,
+)
+from guavalane_standins.gateway_rig import GatewayRig, echo_headers
+
+
+async def answer(exchange):
+    """Answers each request."""
+    await exchange.answer(200, echo_headers(exchange), b"done")
+
+
+HEADERS = {"Authorization": "Bearer k"}
+
+
+def make_rig(rate_per_s, *, timeout_s=10.0, objective_s=2.0):
+    """Returns a node whose organisation has an urgent and a later route."""
+    organisation = Organisation(
+        "org-1", frozenset({"k"}), rate_per_s=rate_per_s, burst=4.0
+    )
+    later = attrs.evolve(
+        make_route(),
+        priority=2,
+        timeout_s=timeout_s,
+        latency_objective_s=objective_s,
+    )
+    urgent = attrs.evolve(later, name="urgent", path_prefix="/u/", priority=0)
+    return GatewayRig(
+        make_configuration(later, urgent, organisations=(organisation,))
+    )
+
+
+class TestDraws:
+    """Guards against requests that run before their units are there."""
+
+    async def test_units_are_kept_for_urgent_requests(self):
+        async with make_rig(0.001) as rig:
+            await rig.add_endpoint(answer)
+            statuses = []
+            for i, path in enumerate(("/u/x", "/u/x", "/a/x", "/a/x", "/u/x")):
+                async with rig.call(
+                    path, headers=HEADERS, request_id=f"q-{i}"
+                ) as reply:
+                    statuses.append(reply.status)
+            assert statuses == [200, 200, 200, 429, 200]
+
+    async def test_retry_after_is_of_use_to_the_caller(self):
+        """Guards against a time that callers do not wait for."""
+        async with make_rig(0.001, timeout_s=1.5) as rig:
+            await rig.add_endpoint(answer)
+            for i in range(5):
+                async with rig.call(
+                    headers=HEADERS, request_id=f"q-{i}"
+                ) as reply:
+                    status = reply.status
+            assert status == 429
+            assert 0 < float(reply.headers["Retry-After"]) <= 0.5
--- a/packages/guavalane-entry/tests/gateway/test_allotment_reports.py
+++ b/packages/guavalane-entry/tests/gateway/test_allotment_reports.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from guavalane_core.allotments import AllotmentLedger, DrawClass
 from guavalane_core.forwarding import Organisation
 from guavalane_core.messages import decode, encode
 from guavalane_core.timers import ManualTimers
@@ -282,3 +283,19 @@
         asked = sum(units for _, units in admitted)
         expected = self.RATE * (0.6 * 9.3 + 0.9 * 5.7)
         assert abs(asked - expected) <= 0.1 * expected
+
+
+class TestOverloadByClass(TestOverloadOfLargeFleet):
+    """Guards against urgency that lets a fleet draw beyond the allotment."""
+
+    @pytest.fixture(autouse=True)
+    def draw_by_class(self, monkeypatch):
+        """Makes each size a class; the largest requests are most urgent."""
+        draw = AllotmentLedger.draw
+
+        def try_draw(ledger, name, units, now_s):
+            draw_class = DrawClass(0, 12_000 / units)
+            result = draw(ledger, name, units, draw_class, now_s, 0.05)
+            return 0.0 if result.is_drawn else max(result.wait_s, 1e-3)
+
+        monkeypatch.setattr(AllotmentLedger, "try_draw", try_draw)
--- a/packages/guavalane-standins/src/guavalane_standins/log_schema.py
+++ b/packages/guavalane-standins/src/guavalane_standins/log_schema.py
@@ -25,7 +25,9 @@
 # Fields that are present for streams only, or for some rejections only.
 OPTIONAL_FIELDS = frozenset({"first_event_s", "longest_gap_s", "events"})
 OPTIONAL_FIELDS_BY_EVENT = {
-    "request.refused": frozenset({"part", "limit_waits_s"})
+    "request.refused": frozenset(
+        {"part", "limit_waits_s", "draw", "retry_after_s"}
+    )
 }
 
 
