Let half of the accepted overuse of an allotment flow in evenly

Cause: operators accept additional units per window, and nodes used their half of them as burst only. Change: half of the used slack flows in over the window that operators state (QuotaWindowS), the other half adds to the burst. A whole window admits what it admitted before. Without a stated window all of it adds to the burst. The test of a steady excess and those of allotments pass.

--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -34,6 +34,7 @@
       started_s: Monotonic time of the start of the process, in seconds; minus
           infinity if no process has run before.
       rng: Random number generator.
+      tolerance_per_s: Additional units per second that are admitted.
     """
 
     def __init__(
@@ -42,9 +43,10 @@
         tolerance_burst: float = 0.0,
         started_s: float = -math.inf,
         rng: random.Random | None = None,
+        tolerance_per_s: float = 0.0,
     ) -> None:
         self._rng = rng or random.Random()
-        self.set_tolerance(tolerance_ratio, tolerance_burst)
+        self.set_tolerance(tolerance_ratio, tolerance_burst, tolerance_per_s)
         self._started_s = started_s
         self._allotments: dict[str, SharedAllotment] = {}
         self._drawn: dict[str, int] = {}
@@ -58,11 +60,15 @@
         return self._drawn
 
     def set_tolerance(
-        self, tolerance_ratio: float, tolerance_burst: float
+        self,
+        tolerance_ratio: float,
+        tolerance_burst: float,
+        tolerance_per_s: float = 0.0,
     ) -> None:
         """Changes the tolerance; applies from the next configuration."""
         self._tolerance_ratio = tolerance_ratio
         self._tolerance_burst = tolerance_burst
+        self._tolerance_per_s = tolerance_per_s
 
     def set_organisations(
         self, organisations: Sequence[Organisation], now_s: float
@@ -77,7 +83,8 @@
                 del self._allotments[name]
         for name, organisation in limited.items():
             limits = (
-                organisation.rate_per_s * (1 + self._tolerance_ratio),
+                organisation.rate_per_s * (1 + self._tolerance_ratio)
+                + self._tolerance_per_s,
                 organisation.burst + self._tolerance_burst,
             )
             if name in self._allotments:
--- a/packages/guavalane-core/tests/test_allotments.py
+++ b/packages/guavalane-core/tests/test_allotments.py
@@ -455,3 +455,35 @@
             return 0.0 if result.is_drawn else max(result.wait_s, 1e-3)
 
         monkeypatch.setattr(AllotmentLedger, "try_draw", try_draw)
+
+
+class TestEvenTolerance:
+    """Guards against a tolerance that only the first burst can use."""
+
+    def draw_for(self, duration_s, tolerance_burst, tolerance_per_s):
+        """Returns the times of the units drawn by a steady excess."""
+        ledger = AllotmentLedger(
+            0.05, tolerance_burst, 0.0, None, tolerance_per_s
+        )
+        organisation = Organisation(
+            "org", frozenset(), rate_per_s=30_000, burst=30_000
+        )
+        ledger.set_organisations([organisation], 0.0)
+        steps = range(int(duration_s * 200))
+        return [
+            step / 200
+            for step in steps
+            if ledger.try_draw("org", 400, step / 200) == 0
+        ]
+
+    def test_a_steady_excess_gets_more_within_the_same_window(self):
+        even = self.draw_for(40, 35_000, 35_000 / 8)
+        burst = self.draw_for(40, 70_000, 0.0)
+        late = [sum(t >= 20 for t in times) for times in (even, burst)]
+        assert late[0] > 1.1 * late[1]
+        bound = (30_000 * 8 + 30_000) * 1.05 + 70_000
+        for times in (even, burst):
+            busiest = max(
+                sum(t <= s < t + 8 for s in times) for t in times[::50]
+            )
+            assert busiest * 400 <= bound
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/settings.py
@@ -74,10 +74,12 @@
     Attributes:
       ratio: Fraction of the allotment.
       slack: Additional units per window.
+      window_s: Length of the window in seconds; 0 if it is not known.
     """
 
     ratio: float = 0.0
     slack: float = 0.0
+    window_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -40,6 +40,10 @@
 # Fraction of the allotment tolerance that a node uses deliberately. The rest
 # covers use by other nodes that is not reported yet.
 USED_TOLERANCE_FRACTION = 0.5
+# Part of the additional units of a window that flow in evenly; the others add
+# to the burst. Over a whole window both admit the same, and an organisation
+# with a steady excess only gets what flows in.
+EVEN_SLACK_FRACTION = 0.5
 # Interval at which the nodes that are heard are counted again, in seconds.
 HEARD_PERIOD_S = 0.5
 # Settings that take effect on reload, without a restart.
@@ -422,9 +426,12 @@
 
     def _apply_tolerance(self) -> None:
         tolerance = self._settings.allotments
+        slack = tolerance.slack * USED_TOLERANCE_FRACTION
+        even_slack = EVEN_SLACK_FRACTION * slack if tolerance.window_s else 0.0
         self.allotments.set_tolerance(
             tolerance.ratio * USED_TOLERANCE_FRACTION,
-            tolerance.slack * USED_TOLERANCE_FRACTION,
+            slack - even_slack,
+            even_slack / tolerance.window_s if even_slack else 0.0,
         )
 
     def _apply_organisations(
