--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -12,12 +12,15 @@
 )
 from guavalane_core.placement.prefixes import PrefixDirectory
 from guavalane_core.placement.rates import EngineRates
+from guavalane_core.placement.server_load import ServerLoad, ServerLoads
 from guavalane_core.placement.work import Work, WorkTable
 
 __all__ = [
     "Candidate",
     "EngineRates",
     "PrefixDirectory",
+    "ServerLoad",
+    "ServerLoads",
     "Work",
     "WorkTable",
     "choose_endpoint",
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -12,6 +12,7 @@
 from guavalane_core.forwarding.endpoint import Endpoint
 from guavalane_core.forwarding.request import Prompt
 from guavalane_core.placement.rates import EngineRates
+from guavalane_core.placement.server_load import UNKNOWN, Figures
 from guavalane_core.placement.work import Load
 
 # Cost per request that an engine already runs, in seconds: each one lengthens
@@ -29,6 +30,12 @@
 # choose the same endpoint.
 RANDOM_CANDIDATES = 3
 PLAIN_CANDIDATES = 2
+# The same if speeds are known: with one slow endpoint of four, every second
+# pair contains it, but only the pairs with a disturbed one should choose it.
+PLAIN_CANDIDATES_WITH_SPEED = 3
+# Cost of another availability zone for a service without an engine, as a
+# fraction of the usual time of a request.
+CROSS_ZONE_FRACTION = 0.1
 CACHED_CANDIDATES = 2
 
 
@@ -41,12 +48,26 @@
       load: Load from all nodes.
       cached_tokens: Prompt tokens that the endpoint is expected to have cached.
       cold: Whether it takes few requests for some time.
+      figures: What its responses tell of its load and speed.
     """
 
     endpoint: Endpoint
     load: Load
     cached_tokens: int = 0
     cold: bool = False
+    figures: Figures = UNKNOWN
+
+    @property
+    def slowdown(self) -> float:
+        """Expected time of work as a multiple of the usual; 1 if unknown."""
+        slowdown = self.figures.slowdown
+        return 1.0 if slowdown is None else slowdown
+
+    @property
+    def requests(self) -> int:
+        """Requests at the endpoint by the most recent information."""
+        stated = self.figures.requests
+        return self.load.requests if stated is None else stated
 
 
 def prefer_warm(candidates: Sequence[Candidate]) -> list[Candidate]:
@@ -85,8 +106,20 @@
           candidates.
     """
     home = home or _find_home(candidates, prompt)
+    has_speeds = _has_speeds(candidates)
     ranked = [
-        (_engine_cost(c, c is home, prompt, engine, rates, zone), c)
+        (
+            _engine_cost(
+                c,
+                c is home,
+                prompt,
+                engine,
+                rates,
+                zone,
+                has_speeds=has_speeds,
+            ),
+            c,
+        )
         for c in candidates
     ]
     ranked.sort(key=lambda pair: pair[0])
@@ -121,24 +154,33 @@
 def sample_endpoints(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> list[Candidate]:
-    """Returns up to two random candidates of a service without an engine.
+    """Returns a few random candidates of a service without an engine.
 
     With outdated load reports, the better of two random endpoints distributes
     the requests of many nodes more evenly than the best of all endpoints.
     """
-    return rng.sample(candidates, min(PLAIN_CANDIDATES, len(candidates)))
+    count = PLAIN_CANDIDATES
+    if _has_speeds(candidates):
+        count = PLAIN_CANDIDATES_WITH_SPEED
+    return rng.sample(candidates, min(count, len(candidates)))
 
 
 def choose_endpoint(
     candidates: Sequence[Candidate], zone: str
 ) -> Candidate | None:
-    """Returns the least loaded candidate of a service without an engine.
+    """Returns the best candidate of a service without an engine.
 
-    Load is relative to the number of slots, so that larger endpoints receive
-    more requests.
+    It is the least loaded one, relative to the number of slots, so that larger
+    endpoints receive more requests. If the speed of any endpoint is known, it
+    is the one with the shortest expected time.
     """
     if not candidates:
         return None
+    if _has_speeds(candidates):
+        return min(
+            candidates,
+            key=lambda c: (_plain_cost(c, zone), c.endpoint.endpoint_id),
+        )
     return min(
         candidates,
         key=lambda c: (
@@ -150,6 +192,29 @@
     )
 
 
+def _has_speeds(candidates: Sequence[Candidate]) -> bool:
+    """Returns whether any endpoint states its speed.
+
+    Otherwise, choices do not depend on the figures of the responses.
+    """
+    return any(c.figures.slowdown is not None for c in candidates)
+
+
+def _plain_cost(candidate: Candidate, zone: str) -> float:
+    """Returns the expected time as a multiple of the usual without a wait.
+
+    Requests below the number of slots count as well: the load is outdated, and
+    nodes with the same figures would all choose the fastest endpoint.
+    """
+    slots = max(1, candidate.endpoint.slots)
+    requests = candidate.requests
+    waiting = max(0, requests + 1 - slots)
+    cost = candidate.slowdown * (1.0 + (requests + waiting) / slots)
+    if candidate.endpoint.zone != zone:
+        cost += CROSS_ZONE_FRACTION
+    return cost
+
+
 def _engine_cost(
     candidate: Candidate,
     is_home: bool,
@@ -157,8 +222,11 @@
     engine: Engine,
     rates: EngineRates,
     zone: str,
+    *,
+    has_speeds: bool,
 ) -> float:
     load = candidate.load
+    requests = candidate.requests if has_speeds else load.requests
     cached = candidate.cached_tokens
     if is_home:
         cached = max(
@@ -166,10 +234,12 @@
         )
     uncached = max(0, prompt.input_tokens - cached)
     cost_s = (load.prefill_tokens + uncached) / rates.prefill_tokens_per_s
-    cost_s += RUNNING_REQUEST_COST_S * load.requests
-    waiting = load.requests + 1 - engine.slots
+    cost_s += RUNNING_REQUEST_COST_S * requests
+    waiting = requests + 1 - engine.slots
     if waiting > 0:
         cost_s += waiting * rates.run_s / engine.slots
+    if has_speeds:
+        cost_s *= candidate.slowdown
     if candidate.endpoint.zone != zone:
         cost_s += CROSS_ZONE_COST_S
     return cost_s
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -271,6 +271,7 @@
             requests=candidate.load.requests,
             prefill_tokens=candidate.load.prefill_tokens,
             cached_tokens=candidate.cached_tokens,
+            slowdown=round(candidate.slowdown, 3),
             after=progress.last_outcome,
             draws_retry=progress.arrivals > 0,
             left_s=round(self._time_left(), 3),
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/names.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/names.py
@@ -35,6 +35,8 @@
       expected_endpoint: ID of the endpoint that the request is addressed to.
       not_run: Set by an endpoint that has not run and will not run the request.
       rate_limit: Requests per second that an endpoint takes from all nodes.
+      load: Running requests, waiting requests and slots of an endpoint, and
+          optionally its time of work in percent of the usual.
       proof: Proof of an endpoint's response, forwarded unchanged.
       model: Name of the model.
       token_counts: Prompt tokens and maximum output tokens, comma-separated.
@@ -52,6 +54,7 @@
     expected_endpoint: str = "X-Expected-Endpoint"
     not_run: str = "X-Not-Run"
     rate_limit: str = "X-Rate-Limit"
+    load: str = "X-Load"
     proof: str = "X-Answer-Proof"
     model: str = "X-Model"
     token_counts: str = "X-Token-Counts"
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -371,6 +371,9 @@
             "endpoint_limit_requests_per_second": lambda: dict(
                 view.endpoint_rates.in_force(self._timers.now())
             ),
+            "endpoint_slowdown": lambda: view.server_loads.known(
+                self._timers.now()
+            ),
             "cold_endpoints": lambda: {
                 service: len(left)
                 for service, left in view.cold_by_service().items()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -13,7 +13,7 @@
 )
 from guavalane_core.forwarding.events import EventTooLongError
 from guavalane_core.forwarding.stalls import PATIENCE_FRACTION
-from guavalane_core.placement import Work
+from guavalane_core.placement import ServerLoad, Work
 from guavalane_entry.gateway.admission import AdmittedRequest
 from guavalane_entry.gateway.components import GatewayComponents
 from guavalane_entry.gateway.endpoint_client import (
@@ -98,6 +98,7 @@
                 response.header(names.rate_limit),
                 has_run=response.header(names.proof) is not None,
             )
+            self._read_load(endpoint, response.header(names.load))
         is_attributable = named is not None or response.is_attributable
         if is_attributable and (
             response.header(names.not_run) is not None
@@ -133,6 +134,20 @@
     def _now(self) -> float:
         return self._components.view.timers.now()
 
+    def _read_load(self, endpoint: Endpoint, text: str | None) -> None:
+        """Records the load and speed in a response, if it has valid ones."""
+        if text is None:
+            return
+        load = ServerLoad.parse(text)
+        outcome = "ignored" if load is None else "read"
+        self._components.metrics.count("endpoint_loads", outcome)
+        if load is not None:
+            view = self._components.view
+            own = view.work.own(endpoint.endpoint_id).requests
+            view.server_loads.observe(
+                endpoint.endpoint_id, load, own, self._now()
+            )
+
     async def _handle_failure(
         self, endpoint: Endpoint, response: EndpointResponse
     ) -> AttemptOutcome:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -127,13 +127,15 @@
         )
     load = view.work.total(endpoint.endpoint_id, now_s)
     is_cold = view.cold_left_s(service, endpoint) > 0
-    return Candidate(endpoint, load, cached, is_cold)
+    own = view.work.own(endpoint.endpoint_id).requests
+    figures = view.server_loads.figures(endpoint.endpoint_id, own, now_s)
+    return Candidate(endpoint, load, cached, is_cold, figures)
 
 
 def _has_connection(
     view: NodeView, service: Service, endpoint: Endpoint
 ) -> bool:
     # Nodes divide an endpoint's connections without coordination: each one uses
-    # at most an equal share, and at least one connection.
-    share = max(1, service.max_connections // view.node_count)
+    # at most a share in proportion to its cores, and at least one connection.
+    share = max(1, int(service.max_connections * view.connection_share()))
     return view.work.own(endpoint.endpoint_id).requests < share
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -302,6 +302,7 @@
             self._view.prefixes.forget(name)
             self._view.ejector.forget(name)
             self._view.endpoint_rates.forget(name)
+            self._view.server_loads.forget(name)
         if known is None and self._has_new_version(endpoint):
             # Its share depends on an order that may not have arrived.
             self._on_new_version()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -24,7 +24,12 @@
 from guavalane_core.limits.endpoint_rates import EndpointRateLimits
 from guavalane_core.moves.table import MoveTable
 from guavalane_core.objects.relays import RelayCandidate
-from guavalane_core.placement import EngineRates, PrefixDirectory, WorkTable
+from guavalane_core.placement import (
+    EngineRates,
+    PrefixDirectory,
+    ServerLoads,
+    WorkTable,
+)
 from guavalane_core.quarantine import QuarantineTable, draw_digest_key
 from guavalane_core.routing.ejection import OutlierEjector
 from guavalane_core.timers import Timers
@@ -38,8 +43,8 @@
 # Fraction of the allotment tolerance that a node uses deliberately. The rest
 # covers use by other nodes that is not reported yet.
 USED_TOLERANCE_FRACTION = 0.5
-# Interval at which the nodes that are heard are counted again, in seconds.
-HEARD_PERIOD_S = 0.5
+# Interval at which other nodes and their cores are counted again, in seconds.
+COUNT_PERIOD_S = 0.5
 # Settings that take effect on reload, without a restart.
 RELOADABLE_SETTINGS = frozenset(
     {"retries", "allotments", "usage_due_s", "stop_grace_s"}
@@ -69,6 +74,7 @@
         self._rng = rng
         self._directory = EndpointDirectory()
         self._work = WorkTable()
+        self._server_loads = ServerLoads()
         self._prefixes = PrefixDirectory()
         self._ejector = OutlierEjector()
         self._started_s = timers.now() if started_s is None else started_s
@@ -90,6 +96,7 @@
         self._evacuated: Set[str] = frozenset()
         self._count_live_peers: Callable[[], int] | None = None
         self._heard = (-math.inf, 1.0)
+        self._core_share = (-math.inf, 1.0)
         self._configuration_delays = ConfigurationDelays()
         self._durations = RouteDurations()
         self._event_gaps = EventGaps()
@@ -121,6 +128,11 @@
         """Load of endpoints from all nodes."""
         return self._work
 
+    @property
+    def server_loads(self) -> ServerLoads:
+        """Load and speed that endpoints state in their responses."""
+        return self._server_loads
+
     @property
     def prefixes(self) -> PrefixDirectory:
         """Prompt parts that endpoints have cached."""
@@ -237,6 +249,28 @@
         """
         return self.node_count if self._peers_listed else math.inf
 
+    def connection_share(self) -> float:
+        """Returns this node's fraction of the connections to an endpoint.
+
+        It is proportional to the cores of the nodes. Nodes that do not tell
+        theirs count as the mean of the others; without own cores, all nodes
+        count the same.
+        """
+        now_s = self.timers.now()
+        counted_s, share = self._core_share
+        if now_s - counted_s >= COUNT_PERIOD_S or now_s < counted_s:
+            share = self._count_core_share()
+            self._core_share = (now_s, share)
+        return share
+
+    def _count_core_share(self) -> float:
+        own = self.settings.cores
+        if own <= 0:
+            return 1.0 / self.node_count
+        candidates = self._relay_candidates.values()
+        cores = [own, *(c.cores for c in candidates if c.cores > 0)]
+        return own / (sum(cores) / len(cores) * self.node_count)
+
     def on_peers_listed(self) -> None:
         """Records that `peers` holds all nodes that are registered."""
         self._peers_listed = True
@@ -336,7 +370,7 @@
             return 1.0
         now_s = self.timers.now()
         counted_s, fraction = self._heard
-        if now_s - counted_s >= HEARD_PERIOD_S:
+        if now_s - counted_s >= COUNT_PERIOD_S:
             heard = 1 + self._count_live_peers()
             fraction = min(1.0, heard / self.node_count)
             self._heard = (now_s, fraction)
