--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -5,6 +5,7 @@
 from guavalane_core.placement.chooser import (
     Candidate,
     choose_endpoint,
+    has_speeds,
     prefer_warm,
     rank_engines,
     sample_endpoints,
@@ -24,6 +25,7 @@
     "Work",
     "WorkTable",
     "choose_endpoint",
+    "has_speeds",
     "prefer_warm",
     "rank_engines",
     "sample_endpoints",
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -106,7 +106,7 @@
           candidates.
     """
     home = home or _find_home(candidates, prompt)
-    has_speeds = _has_speeds(candidates)
+    speeds_known = has_speeds(candidates)
     ranked = [
         (
             _engine_cost(
@@ -116,7 +116,7 @@
                 engine,
                 rates,
                 zone,
-                has_speeds=has_speeds,
+                speeds_known=speeds_known,
             ),
             c,
         )
@@ -160,7 +160,7 @@
     the requests of many nodes more evenly than the best of all endpoints.
     """
     count = PLAIN_CANDIDATES
-    if _has_speeds(candidates):
+    if has_speeds(candidates):
         count = PLAIN_CANDIDATES_WITH_SPEED
     return rng.sample(candidates, min(count, len(candidates)))
 
@@ -176,7 +176,7 @@
     """
     if not candidates:
         return None
-    if _has_speeds(candidates):
+    if has_speeds(candidates):
         return min(
             candidates,
             key=lambda c: (_plain_cost(c, zone), c.endpoint.endpoint_id),
@@ -192,7 +192,7 @@
     )
 
 
-def _has_speeds(candidates: Sequence[Candidate]) -> bool:
+def has_speeds(candidates: Sequence[Candidate]) -> bool:
     """Returns whether any endpoint states its speed.
 
     Otherwise, choices do not depend on the figures of the responses.
@@ -223,10 +223,10 @@
     rates: EngineRates,
     zone: str,
     *,
-    has_speeds: bool,
+    speeds_known: bool,
 ) -> float:
     load = candidate.load
-    requests = candidate.requests if has_speeds else load.requests
+    requests = candidate.requests if speeds_known else load.requests
     cached = candidate.cached_tokens
     if is_home:
         cached = max(
@@ -238,7 +238,7 @@
     waiting = requests + 1 - engine.slots
     if waiting > 0:
         cost_s += waiting * rates.run_s / engine.slots
-    if has_speeds:
+    if speeds_known:
         cost_s *= candidate.slowdown
     if candidate.endpoint.zone != zone:
         cost_s += CROSS_ZONE_COST_S
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -8,6 +8,7 @@
 from guavalane_core.placement import (
     Candidate,
     choose_endpoint,
+    has_speeds,
     prefer_warm,
     rank_engines,
     sample_endpoints,
@@ -18,6 +19,9 @@
 # Largest fleet in which each node compares all endpoints. Up to this size nodes
 # exchange their loads often enough not to pick the same endpoint at once.
 MAX_NODES_FULL_COMPARISON = 16
+# The same for engines whose speeds are known: the fastest ones are the best for
+# all nodes, so these choose the same one more often.
+MAX_NODES_FULL_COMPARISON_OF_SPEEDS = 8
 
 
 def select_endpoint(
@@ -50,7 +54,10 @@
             candidates = sample_endpoints(candidates, view.rng)
         return choose_endpoint(candidates, zone)
     home = None
-    if view.node_count > MAX_NODES_FULL_COMPARISON:
+    max_nodes = MAX_NODES_FULL_COMPARISON
+    if has_speeds(candidates):
+        max_nodes = MAX_NODES_FULL_COMPARISON_OF_SPEEDS
+    if view.node_count > max_nodes:
         candidates, home = shortlist(candidates, request.prompt, view.rng)
     ranked = rank_engines(
         candidates,
