--- a/packages/guavalane-core/src/guavalane_core/placement/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/__init__.py
@@ -5,8 +5,9 @@
 from guavalane_core.placement.chooser import (
     Candidate,
     choose_endpoint,
-    cost_endpoint,
+    cost_endpoints,
     cost_engines,
+    has_speeds,
     prefer_warm,
     rank_engines,
     sample_endpoints,
@@ -14,17 +15,21 @@
 )
 from guavalane_core.placement.prefixes import PrefixDirectory
 from guavalane_core.placement.rates import EngineRates
+from guavalane_core.placement.server_load import ServerLoad, ServerLoads
 from guavalane_core.placement.work import Work, WorkTable
 
 __all__ = [
     "Candidate",
     "EngineRates",
     "PrefixDirectory",
+    "ServerLoad",
+    "ServerLoads",
     "Work",
     "WorkTable",
     "choose_endpoint",
-    "cost_endpoint",
+    "cost_endpoints",
     "cost_engines",
+    "has_speeds",
     "prefer_warm",
     "rank_engines",
     "sample_endpoints",
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -12,6 +12,7 @@
 from guavalane_core.forwarding.endpoint import Endpoint
 from guavalane_core.forwarding.request import Prompt
 from guavalane_core.placement.rates import EngineRates
+from guavalane_core.placement.server_load import UNKNOWN, Figures
 from guavalane_core.placement.work import Load
 
 # Cost per request that an engine already runs, in seconds: each one lengthens
@@ -29,6 +30,12 @@
 # choose the same endpoint.
 RANDOM_CANDIDATES = 3
 PLAIN_CANDIDATES = 2
+# The same if speeds are known: with one slow endpoint of four, every second
+# pair contains it, but only the pairs with a disturbed one should choose it.
+PLAIN_CANDIDATES_WITH_SPEED = 3
+# Cost of another availability zone for a service without an engine, as a
+# fraction of the usual time of a request.
+CROSS_ZONE_FRACTION = 0.1
 CACHED_CANDIDATES = 2
 
 
@@ -41,12 +48,26 @@
       load: Load from all nodes.
       cached_tokens: Prompt tokens that the endpoint is expected to have cached.
       cold: Whether it takes few requests for some time.
+      figures: What its responses tell of its load and speed.
     """
 
     endpoint: Endpoint
     load: Load
     cached_tokens: int = 0
     cold: bool = False
+    figures: Figures = UNKNOWN
+
+    @property
+    def slowdown(self) -> float:
+        """Expected time of work as a multiple of the usual; 1 if unknown."""
+        slowdown = self.figures.slowdown
+        return 1.0 if slowdown is None else slowdown
+
+    @property
+    def requests(self) -> int:
+        """Requests at the endpoint by the most recent information."""
+        stated = self.figures.requests
+        return self.load.requests if stated is None else stated
 
 
 def prefer_warm(candidates: Sequence[Candidate]) -> list[Candidate]:
@@ -85,8 +106,22 @@
           candidates.
     """
     home = home or _find_home(candidates, prompt)
+    speeds_known = has_speeds(candidates)
     ranked = [
-        (sum(_engine_cost(c, c is home, prompt, engine, rates, zone)), c)
+        (
+            sum(
+                _engine_cost(
+                    c,
+                    c is home,
+                    prompt,
+                    engine,
+                    rates,
+                    zone,
+                    speeds_known=speeds_known,
+                )
+            ),
+            c,
+        )
         for c in candidates
     ]
     ranked.sort(key=lambda pair: pair[0])
@@ -106,8 +141,17 @@
     The cost is the sum of the terms. The arguments are those of `rank_engines`.
     """
     home = home or _find_home(candidates, prompt)
+    speeds_known = has_speeds(candidates)
     costs = [
-        _engine_cost(c, c is home, prompt, engine, rates, zone)
+        _engine_cost(
+            c,
+            c is home,
+            prompt,
+            engine,
+            rates,
+            zone,
+            speeds_known=speeds_known,
+        )
         for c in candidates
     ]
     return [
@@ -144,45 +188,80 @@
 def sample_endpoints(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> list[Candidate]:
-    """Returns up to two random candidates of a service without an engine.
+    """Returns a few random candidates of a service without an engine.
 
     With outdated load reports, the better of two random endpoints distributes
     the requests of many nodes more evenly than the best of all endpoints.
     """
-    return rng.sample(candidates, min(PLAIN_CANDIDATES, len(candidates)))
+    count = PLAIN_CANDIDATES
+    if has_speeds(candidates):
+        count = PLAIN_CANDIDATES_WITH_SPEED
+    return rng.sample(candidates, min(count, len(candidates)))
 
 
 def choose_endpoint(
     candidates: Sequence[Candidate], zone: str
 ) -> Candidate | None:
-    """Returns the least loaded candidate of a service without an engine.
+    """Returns the best candidate of a service without an engine.
 
-    Load is relative to the number of slots, so that larger endpoints receive
-    more requests.
+    It is the least loaded one, relative to the number of slots, so that larger
+    endpoints receive more requests. If the speed of any endpoint is known, it
+    is the one with the shortest expected time.
     """
     if not candidates:
         return None
-    return min(candidates, key=lambda c: _endpoint_cost(c, zone))
+    speeds_known = has_speeds(candidates)
+    return min(
+        candidates,
+        key=lambda c: _endpoint_cost(c, zone, speeds_known=speeds_known),
+    )
 
 
-def cost_endpoint(candidate: Candidate, zone: str) -> dict[str, float | str]:
+def cost_endpoints(
+    candidates: Sequence[Candidate], zone: str
+) -> list[tuple[dict[str, float | str], Candidate]]:
     """Returns what candidates without an engine are compared by.
 
     Returns:
-      Terms by name; each one decides only if those before it are equal.
+      Candidates with the terms by name; each term decides only if those before
+      it are equal.
+    """
+    speeds_known = has_speeds(candidates)
+    names = SPEED_TERMS if speeds_known else ENDPOINT_TERMS
+    return [
+        (
+            dict(
+                zip(
+                    names,
+                    _endpoint_cost(c, zone, speeds_known=speeds_known),
+                    strict=True,
+                )
+            ),
+            c,
+        )
+        for c in candidates
+    ]
+
+
+def has_speeds(candidates: Sequence[Candidate]) -> bool:
+    """Returns whether any endpoint states its speed.
+
+    Otherwise, choices do not depend on the figures of the responses.
     """
-    cost = _endpoint_cost(candidate, zone)
-    return dict(zip(ENDPOINT_TERMS, cost, strict=True))
+    return any(c.figures.slowdown is not None for c in candidates)
 
 
-# Names of the terms that the function below returns.
+# Names of the terms that the function below returns, without and with speeds.
 ENDPOINT_TERMS = ("load_per_slot", "cold", "other_zone", "endpoint")
+SPEED_TERMS = ("relative_time", "endpoint")
 
 
 def _endpoint_cost(
-    candidate: Candidate, zone: str
-) -> tuple[float, bool, bool, str]:
+    candidate: Candidate, zone: str, *, speeds_known: bool
+) -> tuple[float | str, ...]:
     endpoint = candidate.endpoint
+    if speeds_known:
+        return _relative_time(candidate, zone), endpoint.endpoint_id
     return (
         candidate.load.requests / max(1, endpoint.slots),
         candidate.cold,
@@ -191,6 +270,21 @@
     )
 
 
+def _relative_time(candidate: Candidate, zone: str) -> float:
+    """Returns the expected time as a multiple of the usual without a wait.
+
+    Requests below the number of slots count as well: the load is outdated, and
+    nodes with the same figures would all choose the fastest endpoint.
+    """
+    slots = max(1, candidate.endpoint.slots)
+    requests = candidate.requests
+    waiting = max(0, requests + 1 - slots)
+    relative_time = candidate.slowdown * (1.0 + (requests + waiting) / slots)
+    if candidate.endpoint.zone != zone:
+        relative_time += CROSS_ZONE_FRACTION
+    return relative_time
+
+
 # Names of the terms that the function below returns.
 ENGINE_TERMS = ("prefill", "running", "slot_wait", "other_zone")
 
@@ -202,19 +296,25 @@
     engine: Engine,
     rates: EngineRates,
     zone: str,
+    *,
+    speeds_known: bool,
 ) -> tuple[float, ...]:
     load = candidate.load
+    requests = candidate.requests if speeds_known else load.requests
     cached = candidate.cached_tokens
     if is_home:
         cached = max(
             cached, int(HOME_CACHED_FRACTION * _shareable_tokens(prompt))
         )
     uncached = max(0, prompt.input_tokens - cached)
-    waiting = load.requests + 1 - engine.slots
+    waiting = requests + 1 - engine.slots
+    slowdown = candidate.slowdown if speeds_known else 1.0
     return (
-        (load.prefill_tokens + uncached) / rates.prefill_tokens_per_s,
-        RUNNING_REQUEST_COST_S * load.requests,
-        waiting * rates.run_s / engine.slots if waiting > 0 else 0.0,
+        slowdown
+        * (load.prefill_tokens + uncached)
+        / rates.prefill_tokens_per_s,
+        slowdown * RUNNING_REQUEST_COST_S * requests,
+        slowdown * waiting * rates.run_s / engine.slots if waiting > 0 else 0.0,
         CROSS_ZONE_COST_S if candidate.endpoint.zone != zone else 0.0,
     )
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -384,6 +384,7 @@
             requests=candidate.load.requests,
             prefill_tokens=candidate.load.prefill_tokens,
             cached_tokens=candidate.cached_tokens,
+            slowdown=round(candidate.slowdown, 3),
             after=progress.last_outcome,
             draws_retry=draws_retry,
             hedge=attempt.is_hedge,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -12,8 +12,9 @@
 from guavalane_core.placement import (
     Candidate,
     choose_endpoint,
-    cost_endpoint,
+    cost_endpoints,
     cost_engines,
+    has_speeds,
     prefer_warm,
     rank_engines,
     sample_endpoints,
@@ -24,6 +25,9 @@
 # Largest fleet in which each node compares all endpoints. Up to this size nodes
 # exchange their loads often enough not to pick the same endpoint at once.
 MAX_NODES_FULL_COMPARISON = 16
+# The same for engines whose speeds are known: the fastest ones are the best for
+# all nodes, so these choose the same one more often.
+MAX_NODES_FULL_COMPARISON_OF_SPEEDS = 8
 
 
 class Exclusion(enum.Enum):
@@ -141,10 +145,13 @@
             candidates = sample_endpoints(candidates, view.rng)
         chosen = choose_endpoint(candidates, zone)
         if trace is not None:
-            trace.costs = [(cost_endpoint(c, zone), c) for c in candidates]
+            trace.costs = cost_endpoints(candidates, zone)
     else:
         home = None
-        if view.node_count > MAX_NODES_FULL_COMPARISON:
+        max_nodes = MAX_NODES_FULL_COMPARISON
+        if has_speeds(candidates):
+            max_nodes = MAX_NODES_FULL_COMPARISON_OF_SPEEDS
+        if view.node_count > max_nodes:
             candidates, home = shortlist(candidates, request.prompt, view.rng)
         compared = (
             candidates,
@@ -260,13 +267,15 @@
         )
     load = view.work.total(endpoint.endpoint_id, now_s)
     is_cold = view.cold_left_s(service, endpoint) > 0
-    return Candidate(endpoint, load, cached, is_cold)
+    own = view.work.own(endpoint.endpoint_id).requests
+    figures = view.server_loads.figures(endpoint.endpoint_id, own, now_s)
+    return Candidate(endpoint, load, cached, is_cold, figures)
 
 
 def _has_connection(
     view: NodeView, service: Service, endpoint: Endpoint
 ) -> bool:
     # Nodes divide an endpoint's connections without coordination: each one uses
-    # at most an equal share, and at least one connection.
-    share = max(1, service.max_connections // view.node_count)
+    # at most a share in proportion to its cores, and at least one connection.
+    share = max(1, int(service.max_connections * view.connection_share()))
     return view.work.own(endpoint.endpoint_id).requests < share
