Let a rejection reach an uploading caller while a node stops

Cause: a connection with the rest of a rejected body counted as idle, so that a stop closed it at once; before the bound on headers, it counted as a request without a response only if bytes arrived at the right moment.

Change: such connections are in a set of their own, which a stop waits for within its time; the HTTP library ends them after 2 s.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -220,6 +220,8 @@
       timers: Timer service.
       unanswered: Connections with a request that has no final response. A
           connection adds and removes itself.
+      lingering: Connections on which the rest of an answered request arrives.
+          A connection adds and removes itself.
       bounds: Bounds on the connections.
       arguments: Arguments of the base class.
     """
@@ -228,12 +230,14 @@
         self,
         timers: Timers,
         unanswered: _ConnectionSet,
+        lingering: _ConnectionSet,
         bounds: CallerBounds,
         *arguments: Any,
         **named: Any,
     ) -> None:
         super().__init__(*arguments, **named)
         self._bounds = bounds
+        self._lingering = lingering
         self._timers = timers
         self._unanswered = unanswered
         self._header_since_s: float | None = None
@@ -248,8 +252,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request has arrived, even partly, and has no response."""
-        return self in self._unanswered
+        """Whether a request has arrived partly or has no response."""
+        return self in self._unanswered or self in self._lingering
 
     @property
     def header_age_s(self) -> float:
@@ -273,6 +277,7 @@
         if is_header:
             self._unanswered.add(self)
         super().data_received(data)
+        self._discards()
         if not (is_header or self._messages):
             return
         self._unanswered.add(self)
@@ -290,6 +295,7 @@
         """Returns whether the rest of an answered request still arrives."""
         if self._discarded is not None and self._discarded.is_eof():
             self._discarded = None
+            self._lingering.discard(self)
         return self._discarded is not None
 
     def _receive_header(self, size_bytes: int) -> None:
@@ -304,6 +310,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Discards a request that no handler has started."""
         self._bounds.connections.close(self)
+        self._lingering.discard(self)
         super().connection_lost(exc)
         if not self._handled:
             self._unanswered.discard(self)
@@ -331,7 +338,9 @@
         Args:
           body: Body of the request.
         """
-        self._discarded = body
+        if not body.is_eof() and self.transport is not None:
+            self._discarded = body
+            self._lingering.add(self)
         self._bounds.connections.release(self)
         self._handled = False
         self._reply = None
@@ -359,9 +368,11 @@
         limits: Callable[[], CallerLimits],
         timers: Timers,
         unanswered: _ConnectionSet,
+        lingering: _ConnectionSet,
         bounds: CallerBounds,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._lingering = lingering
         self._bounds = bounds
         self._limits = limits
         self._timers = timers
@@ -372,6 +383,7 @@
         return _CallerConnection(
             self._timers,
             self._unanswered,
+            self._lingering,
             self._bounds,
             self,
             loop=asyncio.get_running_loop(),
@@ -418,6 +430,7 @@
         self._bounds = bounds or CallerBounds(timers)
         self._closing = False
         self._unanswered = _ConnectionSet()
+        self._lingering = _ConnectionSet()
         self._server: _LimitedServer | None = None
         self._sockets: asyncio.Server | None = None
         self._sweep: Subscription | None = None
@@ -439,6 +452,7 @@
             self._limits,
             self._timers,
             self._unanswered,
+            self._lingering,
             self._bounds,
         )
         self._sweep = self._timers.call_every(
@@ -473,6 +487,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._unanswered.wait_empty()
+                # A close would keep a rejection from a caller that still sends.
+                await self._lingering.wait_empty()
         except TimeoutError:
             log.warning(
                 "listener: {} requests unfinished at shutdown", self.active
--- a/packages/guavalane-entry/tests/test_early_rejections.py
+++ b/packages/guavalane-entry/tests/test_early_rejections.py
@@ -104,6 +104,30 @@
         assert b"body_too_large" in rest
 
 
+class TestEarlyRejectionsAtAStop:
+    """Guards against the same while a gateway node stops."""
+
+    async def test_a_stop_waits_for_the_rest_of_a_rejected_body(self):
+        route = make_route(delivery=Delivery.AT_MOST_ONCE)
+        rig = GatewayRig(make_configuration(route))
+        async with asyncio.timeout(LIMIT_S), rig:
+            part = b"x" * (BODY_BYTES // (PARTS + 1))
+            head = HEAD + b"Content-Length: %d\r\n\r\n" % (PARTS * len(part))
+            host, port = rig.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head + part)
+            assert (await reader.readline()).split()[1] == b"413"
+            stop = asyncio.create_task(rig.stop(LIMIT_S))
+            for _ in range(PARTS - 1):
+                await asyncio.sleep(0.01)
+                assert not stop.done()
+                writer.write(part)
+                await writer.drain()
+            assert b"body_too_large" in await reader.read()
+            writer.close()
+            await stop
+
+
 class TestEarlyRejectionOfHeads:
     """Guards against the same for a head that is too large."""
 
