Prepare the situation of a suppressed hedge when its request arrives

Cause: test_by_situation failed once beside other load: the hedge was due 50 ms after the request was sent, and the test prepared the situation later. Change: the rig prepares it when the endpoint receives the request, and hedges are due after 0.25 s. Result: the 27 tests of the file pass.

--- a/packages/guavalane-entry/tests/gateway/test_hedging.py
+++ b/packages/guavalane-entry/tests/gateway/test_hedging.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import types
 
 import aiohttp
@@ -28,7 +29,7 @@
 )
 from guavalane_standins.gateway_rig import NAMES, GatewayRig, echo_headers
 
-DELAY_S = 0.05
+DELAY_S = 0.25
 ENGINE = Engine(slots=4, kv_tokens=100_000)
 ORGANISATION = Organisation("org-1", frozenset({"k"}), rate_per_s=1, burst=9)
 HEADERS = {"Authorization": "Bearer k"}
@@ -74,6 +75,8 @@
         self.scripts = list(scripts)
         self.received = []
         self.closed = []
+        # Called when the first request arrives, before its hedge is due.
+        self.on_first_request = lambda: None
         self.lines = []
         self.log.request = lambda event, request_id, **fields: (
             self.lines.append((event, fields))
@@ -98,6 +101,8 @@
     async def _play(self, exchange):
         index = len(self.received)
         self.received.append(exchange.request)
+        if index == 0:
+            self.on_first_request()
         script = asyncio.ensure_future(self.scripts[index](exchange))
         closed = asyncio.ensure_future(exchange.wait_closed_by_peer())
         await asyncio.wait(
@@ -412,10 +417,8 @@
     async def test_by_situation(self, prepare, reason):
         late = after(3 * DELAY_S, answer(b"x"))
         async with HedgingRig(make_plain(), late) as rig:
-            call = asyncio.ensure_future(post(rig))
-            await wait_for(lambda: rig.received)
-            prepare(rig)
-            assert await call == (200, b"x")
+            rig.on_first_request = functools.partial(prepare, rig)
+            assert await post(rig) == (200, b"x")
             assert rig.suppressed == [reason]
             assert len(rig.received) == 1
             assert rig.metrics.total("hedges_suppressed") == 1
