End the wait for units with the time of a node that stops

Cause: a request could wait for its units beyond the time in which a stopping node has to answer, if its latency objective was long.

Change: the wait ends at the stop deadline; the request is rejected as not run and its units are refunded.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/forwarder.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from guavalane_core.forwarding import CallerRequest
-from guavalane_entry.gateway.admission import AdmittedRequest, admit, refund
+from guavalane_entry.gateway.admission import (
+    AdmittedRequest,
+    admit,
+    make_stopping_error,
+    refund,
+)
 from guavalane_entry.gateway.components import GatewayComponents
 from guavalane_entry.gateway.errors import (
     AllotmentSpentError,
@@ -34,17 +39,22 @@
                 self._components.metrics.count("allotment_refusals", error.draw)
             await refuse(self._components, request, reply, error)
             return
-        if admitted.wait_s > 0:
-            await self._wait_for_units(request, admitted)
+        if admitted.wait_s > 0 and not await self._wait_for_units(
+            request, admitted
+        ):
+            error = make_stopping_error(self._components.view)
+            await refuse(self._components, request, reply, error)
+            return
         await Exchange(self._components, request, admitted, reply).run()
 
     async def _wait_for_units(
         self, request: CallerRequest, admitted: AdmittedRequest
-    ) -> None:
+    ) -> bool:
         """Waits until the units of a request have flowed in.
 
-        The wait is shorter than the reserve at the end of a stop. The exchange
-        rejects the request if it could not end before the stop.
+        Returns:
+          Whether they have, and not the time of a node that stops ended. The
+          units of a request that does not run are refunded.
         """
         components = self._components
         route = admitted.route.name
@@ -56,12 +66,18 @@
             units=admitted.units,
             wait_s=round(admitted.wait_s, 3),
         )
+        view = components.view
+        arrived = False
         try:
-            await components.view.timers.sleep(admitted.wait_s)
-        except BaseException:
-            # The caller disconnected, so the request does not run.
-            refund(components.view, admitted)
-            raise
+            async with view.stop_deadline.limit():
+                await view.timers.sleep(admitted.wait_s)
+            arrived = True
+        except TimeoutError:
+            pass
+        finally:
+            if not arrived:
+                refund(view, admitted)
+        return arrived
 
     def _admit(self, request: CallerRequest) -> AdmittedRequest:
         view = self._components.view
