Show that a crowd of 300 bodies exceeds the memory of a small node

Bytes that the loop reads from all connections in one turn are not in the account until their handlers run.

--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -35,6 +35,9 @@
 CONNECTIONS = MAX_FDS + 200
 # Attempts to send a request until the endpoint is known.
 ENDPOINT_POLLS = 100
+# The same for a crowd that is bounded only by the descriptors of that VM.
+LARGE_CROWD = 300
+VM_FDS = 1535
 _numbers = itertools.count()
 
 
@@ -54,8 +57,8 @@
 class SmallDeployment(Deployment):
     """One node of the smallest size with an endpoint."""
 
-    def __init__(self):
-        super().__init__(1, limits=LIMITS)
+    def __init__(self, max_fds=MAX_FDS):
+        super().__init__(1, limits={**LIMITS, "MaxFds": max_fds})
         self.configuration = make_config(1, Limits=CALLER_LIMITS)
 
     async def start(self):
@@ -68,11 +71,11 @@
         raise TimeoutError("the node does not use the endpoint")
 
 
-def check(deployment, watch):
+def check(deployment, watch, max_fds=MAX_FDS):
     """Checks that the node lives and stayed within its limits."""
     assert deployment.nodes[0].process.poll() is None
     assert watch.max_resident_bytes < MEMORY_MB * BYTES_PER_MB
-    assert watch.max_descriptors <= MAX_FDS
+    assert watch.max_descriptors <= max_fds
 
 
 class TestCrowd:
@@ -89,6 +92,17 @@
             check(deployment, watch)
             assert answer == (200, b"done:b")
 
+    @pytest.mark.parametrize("chunked", [False, True])
+    async def test_unfinished_bodies_of_a_large_crowd(self, chunked):
+        async with SmallDeployment(VM_FDS) as deployment:
+            node = deployment.nodes[0]
+            watch = ProcessWatch(node.process.pid)
+            async with watch.running(), Crowd(node.callers, make_head) as crowd:
+                await crowd.send_bodies(LARGE_CROWD, BODY_BYTES, chunked)
+                answer = await deployment.call(node, "/once/x", body=b"b")
+            check(deployment, watch, VM_FDS)
+            assert answer == (200, b"done:b")
+
     async def test_more_connections_than_descriptors(self):
         async with SmallDeployment() as deployment:
             node = deployment.nodes[0]
