Bound what the event loop reads from many callers in one turn

Cause: the loop reads up to 256 KiB of each connection before the handler can refuse its body, and the reader keeps twice 64 KiB. Change: connections of callers have a receive buffer of 32 KiB in the kernel, and a reader is paused at twice 16 KiB. A caller 100 ms away uploads about 3 Mbit/s on one connection, by count.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -53,7 +53,11 @@
 MAX_LINE_BYTES = 65_536
 # A connection is not read while twice this number of bytes of its body, which
 # are not in the account of bodies yet, wait for the handler.
-READ_BUFFER_BYTES = 65_536
+READ_BUFFER_BYTES = 16_384
+# Receive buffer of a caller's connection in the kernel, in bytes. The event
+# loop reads up to 256 KiB of each connection in one turn, before any handler
+# can refuse a body; with 300 connections, that was half of a small VM's memory.
+RECEIVE_BUFFER_BYTES = 32_768
 # Response to a header that took too long; the request was not processed.
 HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
@@ -397,6 +401,16 @@
         )
 
 
+def _bind(address: Address) -> socket.socket:
+    """Returns a socket for callers; its connections inherit its options."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    sock.bind((address.host, address.port))
+    return sock
+
+
 class CallerListener:
     """Reads caller requests and passes them to a handler.
 
@@ -459,10 +473,7 @@
             CHECK_PERIOD_S, self._check_callers
         )
         self._sockets = await asyncio.get_running_loop().create_server(
-            self._server,
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG,
+            self._server, sock=_bind(self._address), backlog=BACKLOG
         )
 
     def close_after_responses(self) -> None:
