Use cold endpoints when the prompts at the others wait

Cause: cold endpoints were left out while one warm engine had a free slot. Change: half of the warm endpoints must have a free slot and at most 10,000 waiting prompt tokens, else cold ones are candidates within their rate.

--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -32,6 +32,9 @@
 CACHED_CANDIDATES = 2
 # Number of random candidates for a service without an engine.
 PLAIN_CANDIDATES = 2
+# Prompt tokens that wait at an endpoint above which it counts as busy; about
+# 0.1 s of work, a fifth of the latency objectives of streams.
+BUSY_PREFILL_TOKENS = 10_000
 # The same if speeds are known. With one slow endpoint of four, every second
 # pair contains it, and a choice from such a pair takes it whenever the other
 # endpoint is slow for a moment. Three candidates offer a better one more often.
@@ -73,17 +76,27 @@
 
 
 def prefer_warm(candidates: Sequence[Candidate]) -> list[Candidate]:
-    """Returns the candidates that are not cold if any of them has a free slot.
+    """Returns the candidates that are not cold if half of them have room.
 
     Otherwise, all candidates are returned: a cold endpoint can take a few
-    requests while the others are full.
+    requests while the others are busy. An engine with many slots is busy long
+    before they are taken, as prompts wait for each other. A node of a large
+    fleet compares a few of the candidates, so one with room is not enough.
     """
     warm = [c for c in candidates if not c.cold]
-    if any(c.load.requests < c.endpoint.slots for c in warm):
+    if warm and 2 * sum(map(_has_room, warm)) >= len(warm):
         return warm
     return list(candidates)
 
 
+def _has_room(candidate: Candidate) -> bool:
+    load = candidate.load
+    return (
+        load.requests < candidate.endpoint.slots
+        and load.prefill_tokens <= BUSY_PREFILL_TOKENS
+    )
+
+
 def rank_engines(
     candidates: Sequence[Candidate],
     prompt: Prompt,
--- a/packages/guavalane-core/tests/test_cold_endpoints.py
+++ b/packages/guavalane-core/tests/test_cold_endpoints.py
@@ -9,6 +9,8 @@
 import pytest
 
 from guavalane_core.limits.cold_endpoints import ColdEndpoints, ColdTolerance
+from guavalane_core.placement import Candidate, prefer_warm
+from guavalane_core.placement.work import Load
 from guavalane_standins.forwarding_samples import make_endpoint
 
 # Bound of the operators on the requests in any one second.
@@ -184,3 +186,20 @@
         self.observe(cold, "1", 0.0, started_ms=int(START_MS - 60_000))
         self.observe(cold, "2", 20.0, started_ms=int(START_MS + 20_000))
         assert self.left_s(cold, 20.0, START_MS) == COLD_START_S
+
+
+class TestPreferWarm:
+    """Guards against warm engines that get all prompts while one is cold."""
+
+    @pytest.mark.parametrize(
+        ("requests", "prefill_tokens", "count"),
+        [(3, 0, 1), (3, 10_000, 1), (3, 10_001, 2), (4, 0, 2)],
+    )
+    def test_cold_endpoints_help_busy_ones(
+        self, requests, prefill_tokens, count
+    ):
+        warm = Candidate(
+            make_endpoint("e-1", slots=4), Load(requests, prefill_tokens)
+        )
+        cold = Candidate(make_endpoint("e-2", slots=4), Load(), cold=True)
+        assert len(prefer_warm([warm, cold])) == count
