--- a/packages/guavalane-core/src/guavalane_core/hedging/delays.py
+++ b/packages/guavalane-core/src/guavalane_core/hedging/delays.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-# Attempts after which the times of a class of requests are used.
+# Attempts after which the times of a class of requests are used. Of fewer, a
+# high quantile would be the slowest or second slowest.
 MIN_SAMPLES = 20
 # Latest attempts per class, and number of classes, that are kept.
 MAX_SAMPLES = 256
--- a/packages/guavalane-core/src/guavalane_core/limits/connections.py
+++ b/packages/guavalane-core/src/guavalane_core/limits/connections.py
@@ -12,8 +12,8 @@
 # Part of the other descriptors that callers may take. A request that runs takes
 # a second descriptor for the connection to its endpoint.
 CALLER_FRACTION = 0.5
-# Memory of a connection, in bytes, and the part of the memory that connections
-# may take beside bodies.
+# Memory of a connection with its parser and buffers, in bytes, and the part of
+# the memory that connections may take beside bodies.
 CONNECTION_BYTES = 24 * 1024
 MEMORY_FRACTION = 0.25
 # Lowest limit, for processes with few descriptors or little memory.
--- a/packages/guavalane-core/src/guavalane_core/placement/chooser.py
+++ b/packages/guavalane-core/src/guavalane_core/placement/chooser.py
@@ -122,24 +122,10 @@
       home: Home endpoint of the prompt. If None, it is computed from the
           candidates.
     """
-    home = home or _find_home(candidates, prompt)
-    speeds_known = has_speeds(candidates)
+    costs = _engine_costs(candidates, prompt, engine, rates, zone, home)
     ranked = [
-        (
-            sum(
-                _engine_cost(
-                    c,
-                    c is home,
-                    prompt,
-                    engine,
-                    rates,
-                    zone,
-                    speeds_known=speeds_known,
-                )
-            ),
-            c,
-        )
-        for c in candidates
+        (sum(cost), candidate)
+        for cost, candidate in zip(costs, candidates, strict=True)
     ]
     ranked.sort(key=lambda pair: pair[0])
     return ranked
@@ -157,20 +143,7 @@
 
     The cost is the sum of the terms. The arguments are those of `rank_engines`.
     """
-    home = home or _find_home(candidates, prompt)
-    speeds_known = has_speeds(candidates)
-    costs = [
-        _engine_cost(
-            c,
-            c is home,
-            prompt,
-            engine,
-            rates,
-            zone,
-            speeds_known=speeds_known,
-        )
-        for c in candidates
-    ]
+    costs = _engine_costs(candidates, prompt, engine, rates, zone, home)
     return [
         (dict(zip(ENGINE_TERMS, cost, strict=True)), candidate)
         for cost, candidate in zip(costs, candidates, strict=True)
@@ -302,6 +275,31 @@
     return relative_time
 
 
+def _engine_costs(
+    candidates: Sequence[Candidate],
+    prompt: Prompt,
+    engine: Engine,
+    rates: EngineRates,
+    zone: str,
+    home: Candidate | None,
+) -> list[tuple[float, ...]]:
+    """Returns the terms of the cost of each candidate; see `rank_engines`."""
+    home = home or _find_home(candidates, prompt)
+    speeds_known = has_speeds(candidates)
+    return [
+        _engine_cost(
+            c,
+            c is home,
+            prompt,
+            engine,
+            rates,
+            zone,
+            speeds_known=speeds_known,
+        )
+        for c in candidates
+    ]
+
+
 # Names of the terms that `_engine_cost` returns, in seconds.
 ENGINE_TERMS = ("prefill", "running", "slot_wait", "other_zone")
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -39,7 +39,11 @@
 )
 from guavalane_entry.gateway.hedging import RequestHedging
 from guavalane_entry.gateway.problems import refuse
-from guavalane_entry.gateway.progress import AttemptState, Progress
+from guavalane_entry.gateway.progress import (
+    MIN_ATTEMPT_TIME_S,
+    AttemptState,
+    Progress,
+)
 from guavalane_entry.gateway.reply import Reply
 from guavalane_entry.gateway.responses import (
     SERVER_ERROR,
@@ -55,8 +59,6 @@
 # Subtracted from the time limit sent to an endpoint, in seconds, so that its
 # response at the end of that time still reaches the caller.
 RESPONSE_MARGIN_S = 0.02
-# Minimum remaining time for another attempt, in seconds.
-MIN_ATTEMPT_TIME_S = 0.05
 CLIENT_ERROR = 400
 # Lowest priority that engines support.
 MAX_URGENCY = 9
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/hedging.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/hedging.py
@@ -14,10 +14,11 @@
 from guavalane_entry.gateway.admission import AdmittedRequest
 from guavalane_entry.gateway.capacity import service_capacity, slots_of
 from guavalane_entry.gateway.components import GatewayComponents
-from guavalane_entry.gateway.progress import AttemptState, Progress
-
-# Minimum remaining time for a hedged attempt, in seconds.
-MIN_HEDGE_TIME_S = 0.05
+from guavalane_entry.gateway.progress import (
+    MIN_ATTEMPT_TIME_S,
+    AttemptState,
+    Progress,
+)
 
 
 class RequestHedging:
@@ -106,9 +107,7 @@
         if reason is None:
             self._budget.spend()
             self._progress.has_hedge = True
-            self._components.metrics.count(
-                "hedges_sent", self._admitted.route.name
-            )
+            self._components.metrics.count("hedges", self._admitted.route.name)
             return candidate
         self._components.metrics.count("hedges_suppressed", reason.value)
         self._components.log.request(
@@ -193,7 +192,7 @@
         estimate_s = self._view.durations.estimate_s(
             self._admitted.route.name, self._expected_tokens
         )
-        return max(MIN_HEDGE_TIME_S, estimate_s or 0.0) < self._time_left()
+        return max(MIN_ATTEMPT_TIME_S, estimate_s or 0.0) < self._time_left()
 
     def _time_left(self) -> float:
         return self._deadline_s - self._view.timers.now()
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -57,7 +57,6 @@
 # Receive buffer of a caller's connection in the kernel, in bytes. The event
 # loop reads up to 256 KiB of each connection in one turn, before any handler
 # can refuse a body; with 300 connections, that was half of a small VM's memory.
-# With 64 KiB, 300 bodies took 152.3 and 153.0 MB of 152 MB in two of four runs.
 RECEIVE_BUFFER_BYTES = 32_768
 # Response to a header that took too long; the request was not processed.
 HEADER_TIMEOUT_RESPONSE = (
@@ -404,7 +403,9 @@
 
 def _bind(address: Address) -> socket.socket:
     """Returns a socket for callers; its connections inherit its options."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    is_ipv6 = ":" in address.host
+    family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -9,6 +9,9 @@
 from guavalane_core.placement import Candidate, Work
 from guavalane_entry.hedged_race import Entrant
 
+# Minimum remaining time for another attempt, in seconds.
+MIN_ATTEMPT_TIME_S = 0.05
+
 
 @attrs.define
 class Progress:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/selection.py
@@ -81,6 +81,7 @@
 
     def record(
         self,
+        *,
         known: Sequence[Endpoint],
         staying: Sequence[Endpoint],
         accepting: Sequence[Endpoint],
@@ -224,12 +225,12 @@
     taken = [e for e in usable if e.endpoint_id not in held]
     if trace is not None:
         trace.record(
-            view.directory.all_endpoints(service.name),
-            view.directory.usable(service.name),
-            accepting,
-            allowed,
-            usable,
-            taken,
+            known=view.directory.all_endpoints(service.name),
+            staying=view.directory.usable(service.name),
+            accepting=accepting,
+            allowed=allowed,
+            usable=usable,
+            taken=taken,
         )
     candidates = [_candidate(view, service, request, e, now_s) for e in taken]
     if not service.cold_rate_per_s:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/sinks.py
@@ -394,7 +394,8 @@
 
     def _put(self, stored: StoredObject) -> None:
         self._view.serving.on_listed(
-            stored.name, _time_of(stored.body.get("incarnation"))
+            stored.name,
+            _positive_or_zero(stored.body.get("incarnation"), math.inf),
         )
         if stored.name == self._view.settings.name:
             return
@@ -408,8 +409,8 @@
         self._view.relay_candidates[stored.name] = RelayCandidate(
             stored.name,
             str(stored.body.get("zone", "")),
-            _size_of(stored.body.get("link_mbps")),
-            _size_of(stored.body.get("cores")),
+            _positive_or_zero(stored.body.get("link_mbps"), MAX_SIZE),
+            _positive_or_zero(stored.body.get("cores"), MAX_SIZE),
         )
 
 
@@ -514,13 +515,12 @@
         self._log.event("move.ignored", name=name, reason=reason)
 
 
-def _time_of(value: Any) -> float:
-    """Returns a time in milliseconds since the epoch; 0 if it is not valid."""
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return float(value) if is_number and 0 <= value < math.inf else 0.0
-
+def _positive_or_zero(value: Any, limit: float) -> float:
+    """Returns a number in the entry of a node; 0 if it is not valid.
 
-def _size_of(value: Any) -> float:
-    """Returns a size that a node tells of its VM; 0 if it is not valid."""
+    Args:
+      value: Value of the field.
+      limit: Lowest number that is not valid.
+    """
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return float(value) if is_number and 0 <= value < MAX_SIZE else 0.0
+    return float(value) if is_number and 0 <= value < limit else 0.0
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/view.py
@@ -290,7 +290,7 @@
         """
         now_s = self.timers.now()
         counted_s, share = self._core_share
-        if now_s - counted_s >= COUNT_PERIOD_S or now_s < counted_s:
+        if now_s - counted_s >= COUNT_PERIOD_S:
             share = self._count_core_share()
             self._core_share = (now_s, share)
         return share
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/where.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/where.py
@@ -38,6 +38,20 @@
 UNIT_DIGITS = 1
 
 
+PARAMETERS = frozenset(
+    {
+        "host",
+        "method",
+        "model",
+        "organisation",
+        "parts",
+        "path",
+        "tokens",
+        "tried",
+    }
+)
+
+
 class InvalidQueryError(ValueError):
     """A parameter of the query is missing or invalid."""
 
@@ -69,8 +83,7 @@
         Raises:
           InvalidQueryError: A parameter is missing, unknown or invalid.
         """
-        known = {"host", "path", "method", "organisation", "tried"}
-        unknown = sorted(values.keys() - known - {"tokens", "parts", "model"})
+        unknown = sorted(values.keys() - PARAMETERS)
         if unknown:
             raise InvalidQueryError(f"unknown parameter {unknown[0]!r:.100}")
         host = values.get("host", "").partition(":")[0].lower()
--- a/packages/guavalane-entry/tests/gateway/test_hedging.py
+++ b/packages/guavalane-entry/tests/gateway/test_hedging.py
@@ -121,7 +121,7 @@
     def hedges(self):
         """Numbers of hedges sent and won."""
         total = self.metrics.total
-        return total("hedges_sent"), total("hedges_won")
+        return total("hedges"), total("hedges_won")
 
     async def wait_ended(self):
         """Waits for the last line of the request and returns its fields.
