Tell that a node did not respond in time

Cause: `guavalane where` on a node that accepts a connection and never answers printed `unreachable:` with the address and no reason, as a timeout has no text. Change: the error names the time without a response.

--- a/packages/guavalane-cli/src/guavalane_cli/client.py
+++ b/packages/guavalane-cli/src/guavalane_cli/client.py
@@ -72,8 +72,10 @@
             ):
                 data = await response.json(content_type=None)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            # A timeout has no text of its own.
+            reason = str(error) or f"no response in {REQUEST_TIMEOUT_S:g} s"
             raise OperatorApiError(
-                f"{self._url}: {error or 'timeout'}",
+                f"{self._url}: {reason}",
                 "unreachable",
                 0,
                 not isinstance(error, aiohttp.ClientConnectorError),
