Take a body for incomplete if its reset arrives beside the last bytes

Lists of the store, responses of the platform API and copies of peers were taken for whole.

Cause: the check needs the error with which the event loop reports the end. libuv reports an ordinary end, without another read, if epoll signals a hang-up beside bytes that are not yet read; with a reset, that is the case whenever the node reads late. The error then remains in the socket.

Change: BoundedResponseHandler asks the kernel (SO_ERROR) when the loop reports the end of the stream, and treats an error as the loop's. EPIPE is left out: it is a reset after the ordinary end. All HTTP clients use this handler.

--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextvars
+import errno
 import functools
 import itertools
+import os
+import socket
 from typing import Any
 
 import aiohttp
@@ -70,8 +74,8 @@
     """Protocol that breaks off what is no complete response.
 
     A status outside 100 to 599 breaks the connection. A body without a length
-    is complete only if its connection was not reset; aiohttp treats a reset as
-    the end of such a body.
+    is complete only if the server ended the connection in order; aiohttp treats
+    every end of the connection as the end of such a body.
 
     The parser limits lines and headers, but skips any number of blank lines
     before a response, interim responses, and digits and extensions of a chunk
@@ -95,6 +99,8 @@
         self._interim_responses = 0
         self._body: Any = None
         self._requests = 0
+        # Error that the kernel has recorded for an apparent end of the stream.
+        self._reset: OSError | None = None
         # Hashes of the identities of the requests so far.
         self._carried: set[int] = set()
 
@@ -168,8 +174,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Records whether the end of the stream is a reset."""
+        if self.transport is not None:
+            self._reset = _reset_of(self.transport)
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails a body that is not complete when the connection is reset."""
+        exc = exc or self._reset
         body = self._payload
         if isinstance(exc, OSError) and body is not None and not body.is_eof():
             # Before aiohttp marks the end of a body without a length. A later
@@ -213,6 +226,22 @@
             self.transport.abort()
 
 
+def _reset_of(transport: asyncio.BaseTransport) -> OSError | None:
+    """Returns the error of a connection whose stream seems to have ended.
+
+    uvloop reports an ordinary end without another read if the kernel signals a
+    hang-up beside the last bytes, which may be a reset. The error can be read
+    once. EPIPE is a reset that came after the ordinary end.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return None
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code in (0, errno.EPIPE):
+        return None
+    return OSError(code, os.strerror(code))
+
+
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector that reuses connections whose next response can be identified.
 
--- a/packages/guavalane-entry/tests/test_broken_responses.py
+++ b/packages/guavalane-entry/tests/test_broken_responses.py
@@ -30,6 +30,7 @@
     RESET_DELAY_S,
     UPLOAD,
     listen,
+    listen_at_once,
     reset_server,
     status_server,
 )
@@ -42,6 +43,10 @@
 
 # Time that a call may take, in seconds.
 LIMIT_S = 30.0
+# Head of a response whose body ends with its connection.
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+# A list of no objects, as peers encode it.
+EMPTY_COPY = b"\x80"
 
 
 # pytest-asyncio has no other way yet to choose the loop of a test.
@@ -175,6 +180,18 @@
             with pytest.raises(error):
                 await call(address, UPLOAD)
 
+    @pytest.mark.parametrize("body", [b"", b"{}"], ids=["empty", "some"])
+    async def test_a_reset_beside_the_last_bytes_is_no_answer(
+        self, client, body
+    ):
+        call, error = CALLS[client]
+        async with (
+            asyncio.timeout(LIMIT_S),
+            listen_at_once(lambda _: HEAD + body, is_reset=True) as address,
+        ):
+            with pytest.raises(error):
+                await call(address)
+
 
 @pytest.mark.parametrize("status", [int(text) for text in BROKEN_STATUSES])
 class TestGateway:
@@ -244,28 +261,44 @@
             await serve(reader, writer)
             requested.set()
 
+        async with asyncio.timeout(LIMIT_S), listen(count) as address:
+            return await self._read_from(address, requested)
+
+    async def _read_from(self, address, requested) -> list[list[object]]:
+        """Returns the copies read from a peer that has had a request."""
         timers = LoopTimers()
         watch = _LostKind()
-        async with asyncio.timeout(LIMIT_S), listen(count) as address:
-            reader = CopyReader(
-                {"configuration": watch},
-                _OnePeer(address),
-                lambda: 0,
-                timers,
-                DecisionLog("n1", timers.wall),
-                random.Random(1),
-            )
-            reader.start()
-            await requested.wait()
-            # The response has ended; its reader runs in later loop steps.
-            for _ in range(100):
-                await asyncio.sleep(0)
-            await reader.stop()
+        reader = CopyReader(
+            {"configuration": watch},
+            _OnePeer(address),
+            lambda: 0,
+            timers,
+            DecisionLog("n1", timers.wall),
+            random.Random(1),
+        )
+        reader.start()
+        await requested.wait()
+        # The response has ended; its reader runs in later loop steps.
+        for _ in range(100):
+            await asyncio.sleep(0)
+        await reader.stop()
         return watch.copies
 
     async def test_a_reset_copy_is_not_used(self):
-        empty_list = b"\x80"
-        assert await self._read(reset_server(empty_list)) == []
+        assert await self._read(reset_server(EMPTY_COPY)) == []
+
+    async def test_a_copy_reset_beside_its_last_bytes_is_not_used(self):
+        requested = asyncio.Event()
+
+        def respond(_):
+            requested.set()
+            return HEAD + EMPTY_COPY
+
+        async with (
+            asyncio.timeout(LIMIT_S),
+            listen_at_once(respond, is_reset=True) as address,
+        ):
+            assert await self._read_from(address, requested) == []
 
     @pytest.mark.parametrize("status", BROKEN_STATUSES)
     async def test_a_broken_status_is_no_copy(self, status):
--- a/packages/guavalane-standins/src/guavalane_standins/broken_server.py
+++ b/packages/guavalane-standins/src/guavalane_standins/broken_server.py
@@ -10,9 +10,12 @@
 
 import uvloop
 
+from guavalane_core.tasks import cancel_tasks
 from guavalane_entry.event_loop import EventLoop
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+# Returns the response to the head of a request.
+Respond = Callable[[bytes], bytes]
 
 BROKEN_STATUSES = (b"000", b"099", b"600", b"999")
 # Larger than the buffers of both sockets, so that it is still being written
@@ -20,6 +23,12 @@
 UPLOAD = b"x" * (16 * 1024 * 1024)
 # Time in which the client reads a response before the reset, in seconds.
 RESET_DELAY_S = 0.05
+HEAD_END = b"\r\n\r\n"
+MAX_READ_BYTES = 65_536
+# Send buffer that takes a response at once, in bytes.
+SEND_BUFFER_BYTES = 1024 * 1024
+# Makes the close of a socket reset its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ProgramLoopPolicy(uvloop.EventLoopPolicy):
@@ -83,9 +92,56 @@
         await asyncio.sleep(delay_s)
         if linger:
             sock = writer.get_extra_info("socket")
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         writer.transport.abort()
 
     return serve
+
+
+@contextlib.asynccontextmanager
+async def listen_at_once(
+    respond: Respond, *, is_reset: bool
+) -> AsyncIterator[str]:
+    """Serves one request per connection; yields the address.
+
+    Each response is sent and its connection ended in one step of the event
+    loop. So a client on the same loop finds the reset beside unread bytes, as a
+    node does that is late to read.
+
+    Args:
+      respond: Function that makes the response, which fits into the buffers of
+          both sockets.
+      is_reset: Whether connections are reset after the response.
+    """
+    loop = asyncio.get_running_loop()
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    listener.setblocking(False)
+
+    async def serve(sock: socket.socket) -> None:
+        head = b""
+        while HEAD_END not in head:
+            data = await loop.sock_recv(sock, MAX_READ_BYTES)
+            if not data:
+                break
+            head += data
+        else:
+            sock.sendall(respond(head))
+        if is_reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sock.close()
+
+    async def accept() -> None:
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                sock, _ = await loop.sock_accept(listener)
+                sock.setblocking(False)
+                tasks.create_task(serve(sock))
+
+    task = asyncio.create_task(accept())
+    host, port = listener.getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        await cancel_tasks(task)
+        listener.close()
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -19,6 +19,7 @@
     LOOP_POLICIES,
     UPLOAD,
     listen,
+    listen_at_once,
     reset_server,
     status_server,
 )
@@ -27,6 +28,7 @@
 # a broken response.
 LIMIT_S = 30.0
 OBJECT = b'{"Metadata": {"Name": "n", "Revision": 1}, "Spec": {}}'
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 LIST = b'{"Items": [], "CurrentRev": 1}'
 
 
@@ -85,6 +87,28 @@
             with pytest.raises(ObjectApiUnavailableError):
                 await list_objects(address)
 
+    async def test_a_list_reset_beside_its_last_bytes_is_incomplete(self):
+        async with listen_at_once(
+            lambda _: HEAD + LIST, is_reset=True
+        ) as address:
+            with pytest.raises(ObjectApiUnavailableError):
+                await list_objects(address)
+
+    async def test_a_list_without_a_length_is_read(self):
+        async with listen_at_once(
+            lambda _: HEAD + LIST, is_reset=False
+        ) as address:
+            assert await list_objects(address) == ([], "1")
+
+    async def test_the_outcome_is_unknown_after_a_reset_beside_the_last_bytes(
+        self,
+    ):
+        async with listen_at_once(
+            lambda _: HEAD + OBJECT, is_reset=True
+        ) as address:
+            with pytest.raises(WriteOutcomeUnknownError):
+                await create(address)
+
     async def test_the_outcome_is_unknown_after_a_reset_during_the_upload(self):
         async with listen(reset_server(OBJECT)) as address:
             with pytest.raises(WriteOutcomeUnknownError):
@@ -104,6 +128,11 @@
 class TestCloud:
     """Guards against broken responses of the platform API."""
 
+    async def test_a_response_reset_beside_its_head_is_incomplete(self):
+        async with listen_at_once(lambda _: HEAD, is_reset=True) as address:
+            with pytest.raises(CloudError):
+                await report_usage(address)
+
     @pytest.mark.parametrize("status", BROKEN_STATUSES)
     async def test_a_status_outside_100_to_599_is_no_answer(self, status):
         async with listen(status_server(status)) as address:
