Take a TLS stream without a closing alert for incomplete

Callers of the chat interface saw a whole answer, with a length, if an endpoint behind an https URL sent no length and its stream was cut without a closing alert, by a close or a reset at the TCP level.

Cause: both event loops report such an end without an error, so the body was taken for complete. asyncio reports even the ordinary end of the stream.

Change: a body that ends with its stream is complete only if the loop reported the end and it is one: with TLS, a closing alert was received; without, the socket has no error. What ends otherwise, also by a close of our own, fails. An error of a later write no longer fails a body whose end had already arrived.

Result: 6 new tests failed before, on both loops (bodies of 0, 400 and 300,000 bytes); they hold, and sound bodies with an alert or with a reset after the end of the stream (EPIPE) are still complete.

--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import socket
+import ssl
 from typing import Any
 
 import aiohttp
@@ -99,7 +100,9 @@
         self._interim_responses = 0
         self._body: Any = None
         self._requests = 0
-        # Error that the kernel has recorded for an apparent end of the stream.
+        # Whether the server has ended its stream, and the error that the kernel
+        # has recorded for an apparent end.
+        self._has_ended = False
         self._reset: OSError | None = None
         # Hashes of the identities of the requests so far.
         self._carried: set[int] = set()
@@ -175,21 +178,23 @@
             self.transport.abort()
 
     def eof_received(self) -> None:
-        """Records whether the end of the stream is a reset."""
+        """Records whether the server has ended its stream in order."""
         if self.transport is not None:
             self._reset = _reset_of(self.transport)
+            self._has_ended = self._reset is None
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fails a body that is not complete when the connection is reset."""
+        """Fails a body that the server has not ended."""
         exc = exc or self._reset
         body = self._payload
-        if isinstance(exc, OSError) and body is not None and not body.is_eof():
+        if not self._has_ended and body is not None and not body.is_eof():
             # Before aiohttp marks the end of a body without a length. A later
             # close, such as one at the end of the upload, clears the exception
             # of the protocol but not that of the body.
-            error = aiohttp.ClientPayloadError(f"connection reset: {exc!r}")
-            body.set_exception(error, exc)
+            error = aiohttp.ClientPayloadError(f"connection cut: {exc!r}")
+            error.__cause__ = exc
+            body.set_exception(error)
         super().connection_lost(exc)
 
     def _is_late_copy(self, message: Any, body: Any) -> bool:
@@ -227,12 +232,18 @@
 
 
 def _reset_of(transport: asyncio.BaseTransport) -> OSError | None:
-    """Returns the error of a connection whose stream seems to have ended.
+    """Returns why a stream that seems to have ended is incomplete, if it is.
 
     uvloop reports an ordinary end without another read if the kernel signals a
     hang-up beside the last bytes, which may be a reset. The error can be read
     once. EPIPE is a reset that came after the ordinary end.
+
+    A TLS stream ends with a closing alert, whatever happens to its connection
+    afterwards. asyncio reports an ordinary end without one as well.
     """
+    tls = transport.get_extra_info("ssl_object")
+    if tls is not None:
+        return None if _has_closing_alert(tls) else ConnectionResetError()
     sock = transport.get_extra_info("socket")
     if sock is None:
         return None
@@ -242,6 +253,16 @@
     return OSError(code, os.strerror(code))
 
 
+def _has_closing_alert(tls: ssl.SSLObject) -> bool:
+    """Returns whether a TLS stream whose data was read has been closed."""
+    try:
+        return not tls.read(1)
+    except ssl.SSLZeroReturnError:
+        return True
+    except ssl.SSLError:
+        return False
+
+
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector that reuses connections whose next response can be identified.
 
--- a/packages/guavalane-entry/tests/gateway/test_reset_bodies.py
+++ b/packages/guavalane-entry/tests/gateway/test_reset_bodies.py
@@ -5,7 +5,7 @@
 import pytest
 
 from guavalane_core.forwarding import Delivery, Engine
-from guavalane_standins.broken_server import LOOP_POLICIES, listen_at_once
+from guavalane_standins.broken_server import LOOP_POLICIES, End, listen_at_once
 from guavalane_standins.forwarding_samples import (
     make_configuration,
     make_endpoint,
@@ -95,17 +95,18 @@
         respond = answer_without_length(b"x" * size, version)
         async with (
             make_rig(Delivery.AT_MOST_ONCE) as rig,
-            listen_at_once(respond, is_reset=True) as address,
+            listen_at_once(respond, End.RESET) as address,
         ):
             add_endpoint(rig, "e-1", address)
             async with rig.call() as response:
                 assert response.status == 502
 
-    async def test_a_sound_body_is_forwarded(self, size, version):
+    @pytest.mark.parametrize("end", [End.CLOSE, End.RESET_AFTER_CLOSE])
+    async def test_a_sound_body_is_forwarded(self, size, version, end):
         respond = answer_without_length(b"x" * size, version)
         async with (
             make_rig(Delivery.AT_MOST_ONCE) as rig,
-            listen_at_once(respond, is_reset=False) as address,
+            listen_at_once(respond, end) as address,
         ):
             add_endpoint(rig, "e-1", address)
             async with rig.call() as response:
@@ -117,8 +118,8 @@
         sound = answer_without_length(b"whole", version)
         async with (
             make_rig(Delivery.IDEMPOTENT, max_endpoints=2) as rig,
-            listen_at_once(reset, is_reset=True) as first,
-            listen_at_once(sound, is_reset=False) as second,
+            listen_at_once(reset, End.RESET) as first,
+            listen_at_once(sound, End.CLOSE) as second,
         ):
             add_endpoint(rig, "e-1", first)
             add_endpoint(rig, "e-2", second)
@@ -131,17 +132,17 @@
 class TestStatusesWithoutBody:
     """Guards against sound responses that are taken for incomplete ones."""
 
-    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("end", End)
     @pytest.mark.parametrize(
         ("method", "status"), [("HEAD", 200), ("GET", 204), ("GET", 304)]
     )
     async def test_a_response_that_ends_with_its_head_is_complete(
-        self, method, status, is_reset
+        self, method, status, end
     ):
         respond = answer_without_length(b"", status=status)
         async with (
             make_rig(Delivery.AT_MOST_ONCE) as rig,
-            listen_at_once(respond, is_reset=is_reset) as address,
+            listen_at_once(respond, end) as address,
         ):
             add_endpoint(rig, "e-1", address)
             async with rig.call(method=method) as response:
@@ -156,7 +157,7 @@
         respond = answer_without_length(EVENTS)
         async with (
             make_rig(Delivery.STREAM, resumable=False) as rig,
-            listen_at_once(respond, is_reset=True) as address,
+            listen_at_once(respond, End.RESET) as address,
         ):
             add_endpoint(rig, "e-1", address)
             try:
@@ -177,8 +178,8 @@
         reset = answer_without_length(EVENTS)
         async with (
             make_rig(Delivery.STREAM, resumable=True, max_endpoints=2) as rig,
-            listen_at_once(reset, is_reset=True) as first,
-            listen_at_once(resume, is_reset=False) as second,
+            listen_at_once(reset, End.RESET) as first,
+            listen_at_once(resume, End.CLOSE) as second,
         ):
             add_endpoint(rig, "e-1", first)
             add_endpoint(rig, "e-2", second)
@@ -191,7 +192,7 @@
         respond = answer_without_length(EVENTS)
         async with (
             make_rig(Delivery.STREAM, resumable=False) as rig,
-            listen_at_once(respond, is_reset=False) as address,
+            listen_at_once(respond, End.CLOSE) as address,
         ):
             add_endpoint(rig, "e-1", address)
             received = await read_until_end(rig, STREAM_HEADERS)
--- a/packages/guavalane-entry/tests/test_broken_responses.py
+++ b/packages/guavalane-entry/tests/test_broken_responses.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import random
+import ssl
 
 import aiohttp
 import pytest
@@ -21,7 +22,7 @@
 from guavalane_entry.gateway.copies import CopyReader
 from guavalane_entry.gateway.decision_log import DecisionLog
 from guavalane_entry.gateway.endpoint_client import BrokenResponseError
-from guavalane_entry.http_connection import read_bounded
+from guavalane_entry.http_connection import BoundedConnector, read_bounded
 from guavalane_entry.http_session import make_session
 from guavalane_entry.store.objects_http import HttpObjectApi
 from guavalane_standins.broken_server import (
@@ -29,6 +30,7 @@
     LOOP_POLICIES,
     RESET_DELAY_S,
     UPLOAD,
+    End,
     listen,
     listen_at_once,
     reset_server,
@@ -187,12 +189,62 @@
         call, error = CALLS[client]
         async with (
             asyncio.timeout(LIMIT_S),
-            listen_at_once(lambda _: HEAD + body, is_reset=True) as address,
+            listen_at_once(lambda _: HEAD + body, End.RESET) as address,
         ):
             with pytest.raises(error):
                 await call(address)
 
 
+def make_tls_context(protocol):
+    """Returns a TLS context that needs no certificate."""
+    context = ssl.SSLContext(protocol)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    # TLS 1.3 has no anonymous key exchange.
+    context.maximum_version = ssl.TLSVersion.TLSv1_2
+    context.set_ciphers("AECDH:@SECLEVEL=0")
+    return context
+
+
+@pytest.mark.parametrize("size", [0, 400, 300_000])
+class TestTls:
+    """Guards against a TLS stream that is cut and taken for complete."""
+
+    async def _call(self, body, *, is_cut):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + body)
+            if is_cut:
+                await asyncio.sleep(RESET_DELAY_S)
+                # Ends the TCP connection without a closing alert.
+                writer.transport.abort()
+            else:
+                writer.close()
+
+        server = await asyncio.start_server(
+            serve, "127.0.0.1", 0, ssl=make_tls_context(ssl.PROTOCOL_TLS_SERVER)
+        )
+        host, port = server.sockets[0].getsockname()
+        connector = BoundedConnector(
+            ssl=make_tls_context(ssl.PROTOCOL_TLS_CLIENT)
+        )
+        async with (
+            asyncio.timeout(LIMIT_S),
+            server,
+            make_session(connector=connector) as session,
+            session.get(f"https://{host}:{port}/") as response,
+        ):
+            return await read_bounded(response)
+
+    async def test_a_body_cut_without_a_closing_alert_is_incomplete(self, size):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await self._call(b"x" * size, is_cut=True)
+
+    async def test_a_body_with_a_closing_alert_is_complete(self, size):
+        body = b"x" * size
+        assert await self._call(body, is_cut=False) == body
+
+
 @pytest.mark.parametrize("status", [int(text) for text in BROKEN_STATUSES])
 class TestGateway:
     """Guards against a broken status that reaches a caller."""
@@ -296,7 +348,7 @@
 
         async with (
             asyncio.timeout(LIMIT_S),
-            listen_at_once(respond, is_reset=True) as address,
+            listen_at_once(respond, End.RESET) as address,
         ):
             assert await self._read_from(address, requested) == []
 
--- a/packages/guavalane-standins/src/guavalane_standins/broken_server.py
+++ b/packages/guavalane-standins/src/guavalane_standins/broken_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -31,6 +32,15 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class End(enum.Enum):
+    """How a server ends its connections."""
+
+    CLOSE = "closed"
+    RESET = "reset"
+    # All bytes have arrived before the reset.
+    RESET_AFTER_CLOSE = "reset after the close"
+
+
 class ProgramLoopPolicy(uvloop.EventLoopPolicy):
     """Event loop policy of the programs."""
 
@@ -99,9 +109,7 @@
 
 
 @contextlib.asynccontextmanager
-async def listen_at_once(
-    respond: Respond, *, is_reset: bool
-) -> AsyncIterator[str]:
+async def listen_at_once(respond: Respond, end: End) -> AsyncIterator[str]:
     """Serves one request per connection; yields the address.
 
     Each response is sent and its connection ended in one step of the event
@@ -111,7 +119,7 @@
     Args:
       respond: Function that makes the response, which fits into the buffers of
           both sockets.
-      is_reset: Whether connections are reset after the response.
+      end: How connections end after the response.
     """
     loop = asyncio.get_running_loop()
     listener = socket.create_server(("127.0.0.1", 0))
@@ -127,7 +135,9 @@
             head += data
         else:
             sock.sendall(respond(head))
-        if is_reset:
+        if end is End.RESET_AFTER_CLOSE:
+            sock.shutdown(socket.SHUT_WR)
+        if end is not End.CLOSE:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         sock.close()
 
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -18,6 +18,7 @@
     BROKEN_STATUSES,
     LOOP_POLICIES,
     UPLOAD,
+    End,
     listen,
     listen_at_once,
     reset_server,
@@ -88,23 +89,19 @@
                 await list_objects(address)
 
     async def test_a_list_reset_beside_its_last_bytes_is_incomplete(self):
-        async with listen_at_once(
-            lambda _: HEAD + LIST, is_reset=True
-        ) as address:
+        async with listen_at_once(lambda _: HEAD + LIST, End.RESET) as address:
             with pytest.raises(ObjectApiUnavailableError):
                 await list_objects(address)
 
     async def test_a_list_without_a_length_is_read(self):
-        async with listen_at_once(
-            lambda _: HEAD + LIST, is_reset=False
-        ) as address:
+        async with listen_at_once(lambda _: HEAD + LIST, End.CLOSE) as address:
             assert await list_objects(address) == ([], "1")
 
     async def test_the_outcome_is_unknown_after_a_reset_beside_the_last_bytes(
         self,
     ):
         async with listen_at_once(
-            lambda _: HEAD + OBJECT, is_reset=True
+            lambda _: HEAD + OBJECT, End.RESET
         ) as address:
             with pytest.raises(WriteOutcomeUnknownError):
                 await create(address)
@@ -129,7 +126,7 @@
     """Guards against broken responses of the platform API."""
 
     async def test_a_response_reset_beside_its_head_is_incomplete(self):
-        async with listen_at_once(lambda _: HEAD, is_reset=True) as address:
+        async with listen_at_once(lambda _: HEAD, End.RESET) as address:
             with pytest.raises(CloudError):
                 await report_usage(address)
 
