Reset a body without a length unless the node has sent all of it

Callers saw: a part of a body without a length, followed by an ordinary end, if the node was killed or met an unexpected error while it sent that body. Nothing told them that bytes were missing.

Cause: only abort() made the connection end with a reset. The kernel closes the connections of a killed process in order, and so does the HTTP library after an error of the handler.

Change: such a connection is set to be reset on close before its head is sent. finish() waits until the kernel has taken all bytes and only then restores the ordinary close.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -147,6 +147,7 @@
         else:
             response = self._make(_UnframedResponse(status=status), headers)
             response.force_close()
+            self._set_reset_on_close(True)
         await response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
@@ -156,6 +157,9 @@
     async def finish(self) -> None:
         """Marks the body as complete."""
         await self._response.write_eof()
+        if isinstance(self._response, _UnframedResponse):
+            await self._flush()
+            self._set_reset_on_close(False)
 
     def abort(self) -> None:
         """Closes the connection, so that the response is seen as truncated."""
@@ -163,14 +167,30 @@
         if transport is None:
             return
         if isinstance(self._response, _UnframedResponse):
-            # An ordinary close would mark the end of the body.
-            linger = struct.pack("ii", 1, 0)
-            sock = transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             transport.abort()
         else:
             transport.close()
 
+    async def _flush(self) -> None:
+        """Waits until the kernel has taken all bytes of the response."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.set_write_buffer_limits(high=0)
+            await self._request.writer.drain()
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Sets whether the connection is reset when it is closed.
+
+        An ordinary close marks the end of a body that nothing else delimits.
+        The kernel closes the connections of a killed process as well.
+        """
+        transport = self._request.transport
+        if transport is None:
+            return
+        linger = struct.pack("ii", int(enabled), 0)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _make(
         self,
         response: StreamResponse,
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -17,12 +17,15 @@
 
 from guavalane_entry.gateway.quarantine_store import DIGEST_KEY_NAME
 from guavalane_platform_standins.deployment import (
+    API_KEY,
+    HOST,
     ROOT,
     TENANT,
     Deployment,
     make_config,
 )
 from guavalane_platform_standins.endpoint import EndpointServer
+from guavalane_standins.broken_server import listen
 from guavalane_standins.log_schema import load_log_schema
 
 # Time limit of the operators for applying a configuration, in seconds.
@@ -33,6 +36,8 @@
 # Time from the start of a process in which it imports its modules, in seconds.
 STARTING_S = 0.15
 TOKEN_COUNT = "1200,60"
+HEAD_END = b"\r\n\r\n"
+EVENT = b"id: 1\ndata: t1\n\n"
 STREAM_BODY = b"".join(
     f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 11)
 )
@@ -353,6 +358,37 @@
             assert code == 0
 
 
+class TestKill:
+    """Guards against a stream that ends like a complete one with its node."""
+
+    async def test_a_stream_without_a_length_is_reset(self):
+        async def serve(reader, writer):
+            head = (await reader.readuntil(HEAD_END)).decode()
+            lines = ["HTTP/1.1 200 OK", "Response-Seal: seal"]
+            lines += [x for x in head.split("\r\n") if "Request-Id:" in x]
+            writer.write("\r\n".join(lines).encode() + HEAD_END + EVENT)
+            await reader.read()
+            writer.close()
+
+        async with Deployment(1) as deployment, listen(serve) as address:
+            entry = EndpointServer("i-llm").entry("llm", address)
+            deployment.store.put("servers", "i-llm", entry)
+            await asyncio.sleep(0.2)
+            node = deployment.nodes[0]
+            host, port = node.callers.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            lines = ["POST /talk/x HTTP/1.1", f"Host: {HOST}"]
+            lines += ["Request-Id: 1", "Content-Length: 0", "Model: m"]
+            lines += [f"Token-Count: {TOKEN_COUNT}", "Deadline-Ms: 5000"]
+            lines += [f"Authorization: Token {API_KEY}"]
+            writer.write("\r\n".join(lines).encode() + HEAD_END)
+            await reader.readuntil(EVENT)
+            node.process.kill()
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
+
 class TestReload:
     """Guards against a reload that stops a node or is missed."""
 
