Send streams to HTTP/1.0 callers without chunks

Callers that speak HTTP/1.0 saw 500 for each stream, after the endpoint had run the request: the HTTP library refuses chunked encoding for them.

Change: their streams end with the connection, which is reset if a stream breaks off.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
+from aiohttp.http import HttpVersion11
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
@@ -140,8 +141,11 @@
         *,
         framed: bool = True,
     ) -> None:
-        """Sends the status and headers of a streamed response."""
-        if framed:
+        """Sends the status and headers of a streamed response.
+
+        Callers that speak HTTP/1.0 know no chunks.
+        """
+        if framed and self._request.version >= HttpVersion11:
             response = self._make(StreamResponse(status=status), headers)
             response.enable_chunked_encoding()
         else:
--- a/packages/guavalane-entry/tests/gateway/test_unframed_replies.py
+++ b/packages/guavalane-entry/tests/gateway/test_unframed_replies.py
@@ -10,7 +10,7 @@
 from guavalane_core.forwarding import CallerLimits
 from guavalane_core.timers import LoopTimers
 from guavalane_entry.gateway.codec import RequestCodec
-from guavalane_entry.gateway.listener import CallerListener
+from guavalane_entry.gateway.listener import CallerListener, ConnectionReply
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.stop_deadline import StopDeadline
 from guavalane_standins.broken_server import LOOP_POLICIES
@@ -20,9 +20,6 @@
 PART = b"x" * 400
 # More than the buffers of the kernel and of the node take.
 LARGE_PART = b"x" * 8 * 1024 * 1024
-REQUEST = (
-    f"GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n{NAMES.request_id}: q-1\r\n\r\n"
-).encode()
 
 
 # pytest-asyncio has no other way yet to choose the loop of a test.
@@ -38,8 +35,10 @@
 
 
 @contextlib.asynccontextmanager
-async def connect(handler):
+async def connect(handler, version="1.1"):
     """Sends a request to a listener; yields the reader of the response."""
+    lines = [f"GET /a/x HTTP/{version}", f"Host: {HOST}"]
+    lines.append(f"{NAMES.request_id}: q-1")
     timers = LoopTimers()
     address = Address("127.0.0.1", free_port())
     listener = CallerListener(
@@ -53,7 +52,7 @@
     await listener.start()
     reader, writer = await asyncio.open_connection(address.host, address.port)
     try:
-        writer.write(REQUEST)
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         yield reader
     finally:
         writer.close()
@@ -100,3 +99,29 @@
             assert not finished.is_set()
             received = await reader.read()
             assert received.endswith(b"\r\n\r\n" + LARGE_PART)
+
+
+class TestHttp10:
+    """Guards against HTTP/1.0 callers that get no streams."""
+
+    async def _read(self, end):
+        async def handle(request, reply):
+            await reply.start(200, [], framed=True)
+            await reply.write(PART)
+            await end(reply)
+
+        async with connect(handle, "1.0") as reader:
+            return await reader.read()
+
+    async def test_a_stream_ends_with_the_connection(self):
+        received = await self._read(ConnectionReply.finish)
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.0 200 ")
+        assert body == PART
+
+    async def test_a_stream_that_breaks_off_is_reset(self):
+        async def abort(reply):
+            reply.abort()
+
+        with pytest.raises(ConnectionResetError):
+            await self._read(abort)
