Reset responses without a length in plays of installations

Cause: no play had a response without a length. Their proxy did not pass a reset on (it ended one direction and left the other open, and its own resets were ordinary closes), and their callers took a reset for the end of a body.

--- a/tests/platform/soak/test_repeats.py
+++ b/tests/platform/soak/test_repeats.py
@@ -245,3 +245,21 @@
     def test_requests_that_may_be_repeated(self, play, route):
         play.arrive(play.send(1, route=route, status=503))
         assert play.check("true_refusals") == []
+
+
+class TestWholeResponses:
+    """Guards against a check that overlooks a reset response."""
+
+    def test_a_reset_response_that_looks_complete(self, play):
+        play.arrive(play.send(1), was_reset=True)
+        assert play.check("whole_responses")
+
+    def test_a_response_that_was_reset_at_first(self, play):
+        request_id = play.send(1)
+        play.arrive(request_id, was_reset=True)
+        play.arrive(request_id, endpoint="i-2")
+        assert play.check("whole_responses") == []
+
+    def test_a_response_that_is_no_success(self, play):
+        play.arrive(play.send(1, status=502), was_reset=True)
+        assert play.check("whole_responses") == []
--- a/tests/platform/soak/test_sheet.py
+++ b/tests/platform/soak/test_sheet.py
@@ -18,6 +18,8 @@
     (5, ("endpoints_preempt",)),
     # The copy of a refusal was taken for the response to the same request.
     (22, ("endpoints_restart_and_repeat",)),
+    # A reset that arrived beside the last bytes was taken for an ordinary end.
+    (31, ("responses_reset",)),
     (4, ("responses_lost", "node_slow", "endpoints_reject")),
 )
 
