Decode the other objects of a response with one that cannot be read

Callers saw: nothing at first; then, while one entry of another writer had bytes that are no UTF-8, nodes went on using endpoints that had announced to leave (DRAIN), and after a restart no node got ready.

Cause: one such string failed the whole response of the store, so the watch of its kind counted as lost for as long as the entry stood. Control characters and invalid escapes in strings did the same. Lone surrogates, encoded or escaped, were decoded and would have failed the encoding of copies and relayed changes.

Change: what is no text is decoded as lone surrogates, and an object that has one gets an empty body, which no kind accepts. The others of the response hold. A single read of such an object fails as before: a lease or usage window that cannot be read must not be taken for a free one. object.unreadable logs each object once, guavalane_unreadable_objects counts the reads. A list whose pages have no readable name ends with an error instead of being read forever.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -63,6 +63,7 @@
     MoveSink,
     PeerSink,
 )
+from guavalane_entry.gateway.unreadable_objects import UnreadableObjects
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindWatch
 from guavalane_entry.gateway.where import PATH as WHERE_PATH
@@ -145,6 +146,7 @@
         self._api = api
         self._metrics = Metrics()
         self._log = DecisionLog(settings.name, timers.wall)
+        self._unreadable = UnreadableObjects(self._log, self._metrics)
         started_s = -math.inf if is_first_start else timers.now()
         self._view = NodeView(settings, timers, rng, started_s)
         self._incarnation = int(timers.wall() * 1000)
@@ -293,6 +295,10 @@
             and self._knows_evacuations()
         )
 
+    def on_unreadable_object(self, kind: str, name: str) -> None:
+        """Records that the object API returned an object with no valid text."""
+        self._unreadable.record(kind, name)
+
     async def start(self) -> None:
         """Starts all components."""
         self._log.start()
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,6 +7,10 @@
 import pytest
 from aiohttp import web
 
+from guavalane_core.exceptions import (
+    ObjectApiError,
+    ObjectApiUnavailableError,
+)
 from guavalane_platform.json_values import MAX_DEPTH, decode_json
 from guavalane_platform.objects import BASE_PATH, StoreObjectApi
 from guavalane_standins.processes import free_port
@@ -15,6 +19,17 @@
 DEEP = b"[" * 100_000 + b"]" * 100_000
 DEEP_OBJECT = b'{"a":' * 50_000 + b"1" + b"}" * 50_000
 LONG_NUMBER = b"9" * 5_000
+# Encoded strings that cannot be read.
+UNREADABLE = {
+    "no UTF-8": b'"\xff\xfe\x9c\xc3"',
+    "UTF-8 cut short": b'"\xe2\x82"',
+    "encoded surrogate": b'"\xed\xa0\x80"',
+    "escaped surrogate": rb'"\ud800"',
+    "NUL": b'"a\x00b"',
+    "control character": b'"a\nb"',
+    "invalid escape": rb'"\q"',
+    "escape cut short": rb'"\u12"',
+}
 ODD_VALUES = [DEEP, DEEP_OBJECT, LONG_NUMBER, b"1e999", b"-1e999", b"NaN"]
 
 
@@ -34,7 +49,7 @@
             return web.Response(body=body, content_type="application/json")
 
         app = web.Application()
-        app.router.add_get(BASE_PATH + "/{kind}", answer)
+        app.router.add_get(BASE_PATH + "/{path:.*}", answer)
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
         port = free_port()
@@ -74,6 +89,78 @@
         assert names == ["odd", "i-1"]
 
 
+@pytest.mark.parametrize("text", UNREADABLE.values(), ids=UNREADABLE)
+class TestUnreadableEntries:
+    """Guards against an entry that cannot be read and stops discovery."""
+
+    async def test_a_list_still_has_the_other_objects(self, serve, text):
+        sound = json.dumps(SOUND).encode()
+        items = odd_object(text) + b", " + sound
+        body = b'{"Items": [' + items + b'], "CurrentRev": 7}'
+        client = await serve(body)
+        seen = []
+        client.on_unreadable(lambda *key: seen.append(key))
+        objects, version = await client.list("servers")
+        assert [stored.name for stored in objects] == ["odd", "i-1"]
+        assert [stored.body for stored in objects] == [{}, {"Slots": 4}]
+        assert version == "7"
+        assert seen == [("servers", "odd")]
+
+    async def test_a_poll_still_has_the_other_changes(self, serve, text):
+        sound = json.dumps({"Object": SOUND, "Removed": False}).encode()
+        odd = b'{"Object": ' + odd_object(text) + b', "Removed": false}'
+        body = b'{"events": [' + odd + b", " + sound + b'], "CurrentRev": 7}'
+        client = await serve(body)
+        batch = await client.poll("servers", "1", 0.1)
+        bodies = [event.object.body for event in batch.events]
+        assert bodies == [{}, {"Slots": 4}]
+
+    async def test_a_single_read_fails_as_if_it_was_not_answered(
+        self, serve, text
+    ):
+        client = await serve(odd_object(text))
+        with pytest.raises(ObjectApiUnavailableError):
+            await client.get("leases", "odd")
+
+    async def test_an_unreadable_name_has_escapes(self, serve, text):
+        odd = (
+            b'{"Metadata": {"Name": ' + text + b', "Revision": 2}, "Spec": {}}'
+        )
+        sound = json.dumps(SOUND).encode()
+        body = b'{"Items": [' + odd + b", " + sound + b'], "CurrentRev": 7}'
+        client = await serve(body)
+        objects, _ = await client.list("servers")
+        assert objects[0].name.isascii()
+        assert "\\" in objects[0].name
+        assert objects[1].name == "i-1"
+
+
+class TestReadableText:
+    """Guards against sound text that is taken for unreadable."""
+
+    @pytest.mark.parametrize("text", ["Алматы", "\U0001f600", 'a"\\b\n\x7f'])
+    @pytest.mark.parametrize("is_escaped", [False, True])
+    async def test_a_list_has_the_text(self, serve, text, is_escaped):
+        item = {**SOUND, "Spec": {"Zone": text}}
+        body = json.dumps(
+            {"Items": [item], "CurrentRev": 7}, ensure_ascii=is_escaped
+        )
+        client = await serve(body.encode())
+        objects, _ = await client.list("servers")
+        assert objects[0].body == {"Zone": text}
+
+
+class TestPages:
+    """Guards against a list that is read forever."""
+
+    async def test_a_page_without_a_readable_name_ends_the_list(self, serve):
+        odd = b'{"Metadata": {"Name": "\xff", "Revision": 2}, "Spec": {}}'
+        body = b'{"Items": [' + odd + b'], "CurrentRev": 7, "Truncated": true}'
+        client = await serve(body)
+        with pytest.raises(ObjectApiError):
+            await client.list("servers")
+
+
 class TestDecodeJson:
     """Guards against values that are changed while odd ones are cut."""
 
