Count requests with token counts by their tokens without a model as well

Callers saw: an organisation got three times its allotment by leaving out the header with the model: each request with `Token-Count` counted as plain (QUOTA).

Cause: token counts were read only beside a model, which they do not depend on. Signs were accepted too, so that a negative count was credited.

Change: a request that states its tokens is a prompt, with or without a model. Numbers of tokens are decimal numbers of up to nine digits; other ones, a single number, a third one or a second header are rejected as caller errors (400).

--- a/packages/guavalane-core/src/guavalane_core/forwarding/request.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/request.py
@@ -23,7 +23,7 @@
     """Prompt of a request to a model.
 
     Attributes:
-      model: Name of the model.
+      model: Name of the model; empty if the caller did not state one.
       input_tokens: Length of the prompt.
       max_output_tokens: Maximum number of generated tokens.
       parts: Parts in order; the last is specific to the request or its session.
@@ -73,7 +73,7 @@
       arrived_s: Monotonic time at which the header was read, in seconds.
       time_limit_s: Timeout of the caller in seconds; None without a limit.
       key: Key of the caller.
-      prompt: Prompt; None if the request is not for a model.
+      prompt: Prompt; None if the request does not state its tokens.
       resume_after: Identifier of the last event that the caller received of a
           broken stream.
     """
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -11,6 +11,8 @@
 # Longest time limit that a caller may request, in seconds; larger values are
 # rejected as caller errors.
 MAX_TIME_LIMIT_S = 86_400.0
+# Digits of a number of tokens; contexts of models have seven.
+MAX_TOKEN_DIGITS = 9
 
 
 class RequestCodec:
@@ -108,19 +110,20 @@
 
     def _read_prompt(self, values: dict[str, str]) -> Prompt | None:
         names = self._names
-        model = values.get(names.model.lower())
         counts = values.get(names.token_counts.lower())
-        if model is None or counts is None:
+        if counts is None:
             return None
         try:
-            input_tokens, output_tokens = (int(n) for n in counts.split(","))
+            input_tokens, output_tokens = map(_read_tokens, counts.split(","))
             hint = values.get(names.output_hint.lower())
             return Prompt(
-                model=model,
+                model=values.get(names.model.lower(), ""),
                 input_tokens=input_tokens,
                 max_output_tokens=output_tokens,
                 parts=read_parts(values.get(names.prompt_parts.lower(), "")),
-                likely_output_tokens=None if hint is None else int(hint),
+                likely_output_tokens=None
+                if hint is None
+                else _read_tokens(hint),
             )
         except ValueError:
             raise MalformedRequestError(
@@ -189,11 +192,26 @@
     """Parses prompt parts of the form `ID:TOKENS,ID:TOKENS`.
 
     Raises:
-      ValueError: A number of tokens is not an integer.
+      ValueError: A number of tokens is invalid.
     """
     parts = []
     for entry in text.split(","):
         if entry.strip():
             part_id, _, tokens = entry.strip().partition(":")
-            parts.append(PromptPart(part_id, int(tokens)))
+            parts.append(PromptPart(part_id, _read_tokens(tokens)))
     return tuple(parts)
+
+
+def _read_tokens(text: str) -> int:
+    """Parses a number of tokens.
+
+    Raises:
+      ValueError: It is not a decimal number, or too large. A negative one would
+          be credited to the allotment of its organisation.
+    """
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdecimal()):
+        raise ValueError(f"{text!r} is not a number of tokens")
+    if len(digits) > MAX_TOKEN_DIGITS:
+        raise ValueError(f"{text!r} has too many digits")
+    return int(digits)
--- a/packages/guavalane-entry/tests/gateway/test_bad_input.py
+++ b/packages/guavalane-entry/tests/gateway/test_bad_input.py
@@ -122,6 +122,9 @@
             f"{NAMES.model}: m\r\n{NAMES.token_counts}: a,b",
             f"{NAMES.model}: m\r\n{NAMES.token_counts}: 1,2\r\n"
             f"{NAMES.prompt_parts}: a:b",
+            f"{NAMES.token_counts}: 1,2\r\n{NAMES.prompt_parts}: a:-1",
+            f"{NAMES.token_counts}: 1,2\r\n{NAMES.output_hint}: -1",
+            f"{NAMES.token_counts}: 1,2\r\n{NAMES.token_counts}: 1,2",
         ],
     )
     async def test_duplicate_or_invalid_headers_are_rejected(self, header):
