Keep the allotments of organisations that leave the configuration

Callers saw: an organisation that a configuration takes out and a later one puts back got its whole burst again, at each return (QUOTA).

Cause: the bucket of an organisation that is missing from a configuration was deleted, and that of one that a later configuration adds began full.

Change: the bucket of a missing organisation is kept until it is full; draws that nodes with another configuration report, refunds, and limits that have changed meanwhile apply to it. At most 1,000 are kept, those that lack most. In a process that has started, an organisation begins with what has flowed in since, also if it is not in the first configuration: an earlier process may have drawn it all.

--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -14,6 +14,9 @@
 # Level, as a fraction of the bucket, below which an allotment is nearly
 # exhausted.
 NEARLY_EXHAUSTED = 0.75
+# Allotments of absent organisations that are kept. Each fills up within its
+# burst divided by its rate, mostly seconds.
+MAX_ABSENT = 1000
 
 
 def request_units(organisation: Organisation, prompt: Prompt | None) -> int:
@@ -49,6 +52,8 @@
         self.set_tolerance(tolerance_ratio, tolerance_burst, tolerance_per_s)
         self._started_s = started_s
         self._allotments: dict[str, SharedAllotment] = {}
+        # Allotments of organisations that are missing from the configuration.
+        self._absent: dict[str, SharedAllotment] = {}
         self._drawn: dict[str, int] = {}
         self._configured = False
         # Incarnation and reported totals by node.
@@ -73,14 +78,19 @@
     def set_organisations(
         self, organisations: Sequence[Organisation], now_s: float
     ) -> None:
-        """Applies the limits of a configuration."""
-        # An organisation of a later configuration has not drawn anything yet.
-        empty_s = -math.inf if self._configured else self._started_s
+        """Applies the limits of a configuration.
+
+        An organisation that is missing from it keeps its allotment until that
+        is full. One that is new to this process may have drawn from it by an
+        earlier process.
+        """
         self._configured = True
         limited = {o.name: o for o in organisations if o.rate_per_s > 0}
-        for name in list(self._allotments):
-            if name not in limited:
-                del self._allotments[name]
+        for name in self._allotments.keys() - limited.keys():
+            self._absent[name] = self._allotments.pop(name)
+        self._drop_absent(now_s)
+        for name in self._absent.keys() & limited.keys():
+            self._allotments[name] = self._absent.pop(name)
         for name, organisation in limited.items():
             limits = (
                 organisation.rate_per_s * (1 + self._tolerance_ratio)
@@ -91,12 +101,33 @@
                 self._allotments[name].set_limits(*limits, now_s)
             else:
                 self._allotments[name] = SharedAllotment(
-                    *limits, now_s, empty_s, self._rng
+                    *limits, now_s, self._started_s, self._rng
                 )
 
+    def _drop_absent(self, now_s: float) -> None:
+        """Drops allotments of absent organisations that are full.
+
+        Of too many others, those that are nearly full go first.
+        """
+        for name, allotment in list(self._absent.items()):
+            if allotment.level_at(now_s) >= allotment.burst:
+                del self._absent[name]
+        excess = len(self._absent) - MAX_ABSENT
+        if excess > 0:
+            levels = {
+                name: allotment.level_at(now_s) / allotment.burst
+                for name, allotment in self._absent.items()
+            }
+            for name in sorted(levels, key=levels.get)[-excess:]:
+                del self._absent[name]
+
+    def _find(self, name: str) -> SharedAllotment | None:
+        """Returns an allotment, also that of an absent organisation."""
+        return self._allotments.get(name) or self._absent.get(name)
+
     def set_share(self, share: float, now_s: float) -> None:
         """Sets the share of each allotment that this node can rely on."""
-        for allotment in self._allotments.values():
+        for allotment in (*self._allotments.values(), *self._absent.values()):
             allotment.set_share(share, now_s)
 
     def try_draw(self, name: str, units: int, now_s: float) -> float:
@@ -158,7 +189,7 @@
         draw_class: DrawClass | None = None,
     ) -> None:
         """Refunds the units of a request that has not run and will not run."""
-        allotment = self._allotments.get(name)
+        allotment = self._find(name)
         if allotment is None or name not in self._drawn:
             return
         allotment.refund(units, now_s, draw_class=draw_class)
@@ -170,10 +201,14 @@
         return allotment.level if allotment is not None else 0.0
 
     def levels(self, now_s: float) -> dict[str, float]:
-        """Returns the current level of each allotment, by organisation."""
+        """Returns the current level of each allotment, by organisation.
+
+        It includes organisations that are missing from the configuration, which
+        other nodes may still know.
+        """
         return {
             name: allotment.level_at(now_s)
-            for name, allotment in self._allotments.items()
+            for name, allotment in (self._absent | self._allotments).items()
         }
 
     def nearly_exhausted(self, now_s: float) -> list[str]:
@@ -210,7 +245,7 @@
         if not self._configured:
             return
         for name, level in levels.items():
-            allotment = self._allotments.get(name)
+            allotment = self._find(name)
             if allotment is not None:
                 allotment.adopt_level(level, now_s)
         self._reported[node] = (incarnation, dict(totals))
@@ -235,7 +270,7 @@
             known = (incarnation, {})
         for name, total in totals.items():
             units = total - known[1].get(name, 0)
-            allotment = self._allotments.get(name)
+            allotment = self._find(name)
             if allotment is None or units == 0:
                 continue
             if units > 0:
