Share the set-up of stream requests and of odd entries between tests

The headers of a stream request stood in two test files, and the reading of a response until the end of its connection and the encodings of lists and changes with an odd object stood twice.

--- a/packages/guavalane-entry/tests/gateway/test_reset_bodies.py
+++ b/packages/guavalane-entry/tests/gateway/test_reset_bodies.py
@@ -12,20 +12,15 @@
     make_route,
 )
 from guavalane_standins.gateway_rig import (
-    HOST,
     NAMES,
+    STREAM_HEADERS,
     GatewayRig,
-    open_connection_to,
+    read_until_end,
 )
 
 BODY_SIZES = (0, 1, 400, 20_000, 65_536)
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 LAST_EVENTS = b"id: 3\ndata: c\n\n"
-STREAM_HEADERS = {
-    NAMES.model: "m",
-    NAMES.token_counts: "1000,50",
-    NAMES.prompt_parts: "a:250,b:500,c:250",
-}
 VERSIONS = ("1.0", "1.1")
 
 
@@ -69,23 +64,6 @@
     rig.view.directory.put(make_endpoint(name, address=address))
 
 
-async def read_until_end(rig, headers):
-    """Sends a request and returns all bytes of the response.
-
-    Raises:
-      ConnectionResetError: The connection was reset.
-    """
-    reader, writer = await open_connection_to(rig)
-    lines = ["POST /a/x HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
-    lines.append(f"{NAMES.request_id}: q-1")
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-    try:
-        return await reader.read()
-    finally:
-        writer.close()
-
-
 @pytest.mark.parametrize("version", VERSIONS)
 @pytest.mark.parametrize("size", BODY_SIZES)
 class TestBodies:
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -13,19 +13,14 @@
     make_route,
 )
 from guavalane_standins.gateway_rig import (
-    HOST,
     NAMES,
+    STREAM_HEADERS,
     GatewayRig,
     echo_headers,
-    open_connection_to,
+    read_until_end,
 )
 
 ENGINE = Engine(slots=4, kv_tokens=100_000)
-STREAM_HEADERS = {
-    NAMES.model: "m",
-    NAMES.token_counts: "1000,50",
-    NAMES.prompt_parts: "a:250,b:500,c:250",
-}
 
 
 def configuration(*, resumable, patience_s=0.0):
@@ -443,17 +438,10 @@
         Raises:
           ConnectionResetError: The connection was reset.
         """
-        reader, writer = await open_connection_to(rig)
-        lines = ["POST /a/x HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
-        lines.append(f"{NAMES.request_id}: q-1")
-        lines += [f"{k}: {v}" for k, v in STREAM_HEADERS.items()]
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            assert b"Transfer-Encoding" not in head
-            return await reader.read()
-        finally:
-            writer.close()
+        received = await read_until_end(rig, STREAM_HEADERS)
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert b"Transfer-Encoding" not in head
+        return body
 
     async def test_a_whole_stream_is_forwarded(self):
         data = event(1) + event(2)
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -33,6 +33,12 @@
 
 NAMES = HeaderNames()
 HOST = "app.example"
+# Headers of a request for a stream.
+STREAM_HEADERS = {
+    NAMES.model: "m",
+    NAMES.token_counts: "1000,50",
+    NAMES.prompt_parts: "a:250,b:500,c:250",
+}
 # Placeholder address of nodes that do not listen.
 PLACEHOLDER_ADDRESS = Address("127.0.0.1", 7600)
 
@@ -68,6 +74,23 @@
     return asyncio.open_connection(host, int(port))
 
 
+async def read_until_end(rig: GatewayRig, headers: dict[str, str]) -> bytes:
+    """Sends a request and returns all bytes until the connection ends.
+
+    Raises:
+      ConnectionResetError: The connection was reset.
+    """
+    reader, writer = await open_connection_to(rig)
+    lines = ["POST /a/x HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
+    lines.append(f"{NAMES.request_id}: q-1")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
 class GatewayRig:
     """Runs a caller listener, a forwarder and scripted endpoints on loopback.
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -39,6 +39,20 @@
     return head + value + b"}}"
 
 
+def list_with(odd):
+    """Returns the encoding of a list of an odd object and a sound one."""
+    items = odd + b", " + json.dumps(SOUND).encode()
+    return b'{"Items": [' + items + b'], "CurrentRev": 7}'
+
+
+def events_with(odd):
+    """Returns the encoding of changes to an odd object and a sound one."""
+    sound = json.dumps({"Object": SOUND, "Removed": False}).encode()
+    odd_event = b'{"Object": ' + odd + b', "Removed": false}'
+    events = odd_event + b", " + sound
+    return b'{"events": [' + events + b'], "CurrentRev": 7}'
+
+
 @pytest.fixture
 async def serve():
     """Returns a function that serves fixed bytes and returns a client."""
@@ -69,10 +83,7 @@
 
     @pytest.mark.parametrize("value", ODD_VALUES, ids=lambda v: v[:6].decode())
     async def test_a_list_still_has_the_other_objects(self, serve, value):
-        sound = json.dumps(SOUND).encode()
-        items = odd_object(value) + b", " + sound
-        body = b'{"Items": [' + items + b'], "CurrentRev": 7}'
-        client = await serve(body)
+        client = await serve(list_with(odd_object(value)))
         objects, version = await client.list("servers")
         assert [stored.name for stored in objects] == ["odd", "i-1"]
         assert objects[1].body == {"Slots": 4}
@@ -80,10 +91,7 @@
 
     @pytest.mark.parametrize("value", ODD_VALUES, ids=lambda v: v[:6].decode())
     async def test_a_poll_still_has_the_other_changes(self, serve, value):
-        sound = json.dumps({"Object": SOUND, "Removed": False}).encode()
-        odd = b'{"Object": ' + odd_object(value) + b', "Removed": false}'
-        body = b'{"events": [' + odd + b", " + sound + b'], "CurrentRev": 7}'
-        client = await serve(body)
+        client = await serve(events_with(odd_object(value)))
         batch = await client.poll("servers", "1", 0.1)
         names = [event.object.name for event in batch.events]
         assert names == ["odd", "i-1"]
@@ -94,10 +102,7 @@
     """Guards against an entry that cannot be read and stops discovery."""
 
     async def test_a_list_still_has_the_other_objects(self, serve, text):
-        sound = json.dumps(SOUND).encode()
-        items = odd_object(text) + b", " + sound
-        body = b'{"Items": [' + items + b'], "CurrentRev": 7}'
-        client = await serve(body)
+        client = await serve(list_with(odd_object(text)))
         seen = []
         client.on_unreadable(lambda *key: seen.append(key))
         objects, version = await client.list("servers")
@@ -107,10 +112,7 @@
         assert seen == [("servers", "odd")]
 
     async def test_a_poll_still_has_the_other_changes(self, serve, text):
-        sound = json.dumps({"Object": SOUND, "Removed": False}).encode()
-        odd = b'{"Object": ' + odd_object(text) + b', "Removed": false}'
-        body = b'{"events": [' + odd + b", " + sound + b'], "CurrentRev": 7}'
-        client = await serve(body)
+        client = await serve(events_with(odd_object(text)))
         batch = await client.poll("servers", "1", 0.1)
         bodies = [event.object.body for event in batch.events]
         assert bodies == [{}, {"Slots": 4}]
@@ -126,9 +128,7 @@
         odd = (
             b'{"Metadata": {"Name": ' + text + b', "Revision": 2}, "Spec": {}}'
         )
-        sound = json.dumps(SOUND).encode()
-        body = b'{"Items": [' + odd + b", " + sound + b'], "CurrentRev": 7}'
-        client = await serve(body)
+        client = await serve(list_with(odd))
         objects, _ = await client.list("servers")
         assert objects[0].name.isascii()
         assert "\\" in objects[0].name
