--- a/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
+++ b/packages/guavalane-core/src/guavalane_core/allotments/ledger.py
@@ -25,7 +25,7 @@
         return 1
     if prompt is None:
         return organisation.plain_tokens
-    return prompt.input_tokens + prompt.max_output_tokens
+    return prompt.max_tokens
 
 
 class AllotmentLedger:
@@ -80,9 +80,9 @@
     ) -> None:
         """Applies the limits of a configuration.
 
-        An organisation that is missing from it keeps its allotment until that
-        is full. One that is new to this process may have drawn from it by an
-        earlier process.
+        The allotment of an organisation that is missing from it is kept until
+        it is full. One that is new to this process may have been drawn from by
+        an earlier process.
         """
         self._configured = True
         limited = {o.name: o for o in organisations if o.rate_per_s > 0}
--- a/packages/guavalane-core/src/guavalane_core/forwarding/request.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/request.py
@@ -36,6 +36,11 @@
     parts: tuple[PromptPart, ...] = ()
     likely_output_tokens: int | None = None
 
+    @property
+    def max_tokens(self) -> int:
+        """Length of the prompt with the longest output."""
+        return self.input_tokens + self.max_output_tokens
+
     @property
     def expected_output_tokens(self) -> int:
         """Expected number of generated tokens."""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -296,7 +296,7 @@
         )
 
     def on_unreadable_object(self, kind: str, name: str) -> None:
-        """Records that the object API returned an object with no valid text."""
+        """Records a read of a stored object whose text cannot be read."""
         self._unreadable.record(kind, name)
 
     async def start(self) -> None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -189,9 +189,7 @@
         return has_room(
             stated or ServerLoad(max(0, others), 0, endpoint.slots),
             service.engine,
-            0
-            if prompt is None
-            else prompt.input_tokens + prompt.max_output_tokens,
+            0 if prompt is None else prompt.max_tokens,
             is_estimate=stated is None,
         )
 
