--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -143,7 +143,8 @@
     ) -> None:
         """Sends the status and headers of a streamed response.
 
-        Callers that speak HTTP/1.0 know no chunks.
+        HTTP/1.0 has no chunked encoding; there, the body ends with the
+        connection.
         """
         if framed and self._request.version >= HttpVersion11:
             response = self._make(StreamResponse(status=status), headers)
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -165,10 +165,10 @@
             )
 
     def _had_room(self, endpoint: Endpoint, response: EndpointResponse) -> bool:
-        """Returns whether an endpoint rejected what it could have run.
+        """Returns whether an endpoint rejected a request despite having room.
 
-        It is full by right if it leaves, if its rate is limited while it is
-        cold, or if the time of the request ran out in its queue.
+        That is not known while the endpoint leaves or is cold with a limited
+        rate, or if the request may have expired in its queue.
         """
         view = self._components.view
         service = self._admitted.service
--- a/packages/guavalane-entry/src/guavalane_entry/http_connection.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_connection.py
@@ -40,6 +40,7 @@
 # Statuses outside this range are no HTTP responses.
 MIN_STATUS = 100
 MAX_STATUS = 599
+NO_CLOSING_ALERT = "the TLS stream ended without a closing alert"
 
 # Numbers of the connections of this process, for logs.
 _numbers = itertools.count(1)
@@ -100,10 +101,10 @@
         self._interim_responses = 0
         self._body: Any = None
         self._requests = 0
-        # Whether the server has ended its stream, and the error that the kernel
-        # has recorded for an apparent end.
+        # Whether the server has ended its stream in order, and the error found
+        # when the event loop reported the end of a stream that was cut.
         self._has_ended = False
-        self._reset: OSError | None = None
+        self._cut: OSError | None = None
         # Hashes of the identities of the requests so far.
         self._carried: set[int] = set()
 
@@ -180,13 +181,13 @@
     def eof_received(self) -> None:
         """Records whether the server has ended its stream in order."""
         if self.transport is not None:
-            self._reset = _reset_of(self.transport)
-            self._has_ended = self._reset is None
+            self._cut = _find_cut(self.transport)
+            self._has_ended = self._cut is None
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails a body that the server has not ended."""
-        exc = exc or self._reset
+        exc = exc or self._cut
         body = self._payload
         if not self._has_ended and body is not None and not body.is_eof():
             # Before aiohttp marks the end of a body without a length. A later
@@ -231,19 +232,23 @@
             self.transport.abort()
 
 
-def _reset_of(transport: asyncio.BaseTransport) -> OSError | None:
-    """Returns why a stream that seems to have ended is incomplete, if it is.
+def _find_cut(transport: asyncio.BaseTransport) -> OSError | None:
+    """Returns the error of a stream that was cut; None if it ended in order.
 
     uvloop reports an ordinary end without another read if the kernel signals a
     hang-up beside the last bytes, which may be a reset. The error can be read
-    once. EPIPE is a reset that came after the ordinary end.
+    once. EPIPE means that the reset came after the end of the stream.
 
     A TLS stream ends with a closing alert, whatever happens to its connection
     afterwards. asyncio reports an ordinary end without one as well.
     """
     tls = transport.get_extra_info("ssl_object")
     if tls is not None:
-        return None if _has_closing_alert(tls) else ConnectionResetError()
+        return (
+            None
+            if _has_closing_alert(tls)
+            else ConnectionResetError(NO_CLOSING_ALERT)
+        )
     sock = transport.get_extra_info("socket")
     if sock is None:
         return None
