--- a/packages/guavalane-entry/tests/gateway/test_reset_bodies.py
+++ b/packages/guavalane-entry/tests/gateway/test_reset_bodies.py
@@ -15,7 +15,7 @@
     NAMES,
     STREAM_HEADERS,
     GatewayRig,
-    read_until_end,
+    send_request,
 )
 
 BODY_SIZES = (0, 1, 400, 20_000, 65_536)
@@ -64,6 +64,19 @@
     rig.view.directory.put(make_endpoint(name, address=address))
 
 
+async def read_until_end(rig, headers):
+    """Sends a request and returns all bytes until the connection ends.
+
+    Raises:
+      ConnectionResetError: The connection was reset.
+    """
+    reader, writer = await send_request(rig, headers)
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
 @pytest.mark.parametrize("version", VERSIONS)
 @pytest.mark.parametrize("size", BODY_SIZES)
 class TestBodies:
--- a/packages/guavalane-entry/tests/gateway/test_streams.py
+++ b/packages/guavalane-entry/tests/gateway/test_streams.py
@@ -17,7 +17,7 @@
     STREAM_HEADERS,
     GatewayRig,
     echo_headers,
-    read_until_end,
+    send_request,
 )
 
 ENGINE = Engine(slots=4, kv_tokens=100_000)
@@ -438,10 +438,13 @@
         Raises:
           ConnectionResetError: The connection was reset.
         """
-        received = await read_until_end(rig, STREAM_HEADERS)
-        head, _, body = received.partition(b"\r\n\r\n")
-        assert b"Transfer-Encoding" not in head
-        return body
+        reader, writer = await send_request(rig, STREAM_HEADERS)
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Transfer-Encoding" not in head
+            return await reader.read()
+        finally:
+            writer.close()
 
     async def test_a_whole_stream_is_forwarded(self):
         data = event(1) + event(2)
--- a/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
+++ b/packages/guavalane-standins/src/guavalane_standins/gateway_rig.py
@@ -74,21 +74,16 @@
     return asyncio.open_connection(host, int(port))
 
 
-async def read_until_end(rig: GatewayRig, headers: dict[str, str]) -> bytes:
-    """Sends a request and returns all bytes until the connection ends.
-
-    Raises:
-      ConnectionResetError: The connection was reset.
-    """
+async def send_request(
+    rig: GatewayRig, headers: dict[str, str]
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Sends a request on a new connection; returns its reader and writer."""
     reader, writer = await open_connection_to(rig)
     lines = ["POST /a/x HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
     lines.append(f"{NAMES.request_id}: q-1")
     lines += [f"{name}: {value}" for name, value in headers.items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-    try:
-        return await reader.read()
-    finally:
-        writer.close()
+    return reader, writer
 
 
 class GatewayRig:
