Log what ended the answer to a request

Cause: request.answered did not tell whether a stream ended by its length, its last chunk or its connection, so a stream that was cut in order looked like a whole one in the log.

Change: a field response_end in the lines at the end of a request and in attempt.broken, and a counter response_ends by its value.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -50,6 +51,16 @@
     """The response is missing, incomplete or to another request."""
 
 
+class ResponseEnd(enum.StrEnum):
+    """What ends the body of a response."""
+
+    LENGTH = "length"
+    LAST_CHUNK = "last_chunk"
+    CONNECTION = "connection"
+    # Responses to HEAD, and statuses that have no body.
+    HEAD = "head"
+
+
 @attrs.frozen(eq=False)
 class EndpointResponse:
     """Status and headers of an endpoint response, with access to its body.
@@ -76,6 +87,17 @@
         headers = self.response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
 
+    @property
+    def end(self) -> ResponseEnd:
+        """What ends the body."""
+        if self.response.content is aiohttp.streams.EMPTY_PAYLOAD:
+            return ResponseEnd.HEAD
+        if "Transfer-Encoding" in self.response.headers:
+            return ResponseEnd.LAST_CHUNK
+        if "Content-Length" in self.response.headers:
+            return ResponseEnd.LENGTH
+        return ResponseEnd.CONNECTION
+
     @property
     def is_attributable(self) -> bool:
         """Whether the response belongs to the request even without its ID.
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/exchange.py
@@ -440,6 +440,7 @@
                 endpoint=endpoint.endpoint_id,
                 reason=str(error),
                 received_events=progress.events - events_before,
+                response_end=attempt.end,
                 parts=self._admitted.parts.all,
             )
             outcome = AttemptOutcome.BROKEN
@@ -614,6 +615,7 @@
             endpoints=sorted(progress.tried),
             arrivals=progress.arrivals,
             status=progress.last_status,
+            response_end=progress.response_end,
             elapsed_s=round(elapsed_s, 3),
             **timing,
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -7,6 +7,7 @@
 from guavalane_core.forwarding import AttemptOutcome, Endpoint
 from guavalane_core.moves.samples import AttemptSample
 from guavalane_core.placement import Candidate, Work
+from guavalane_entry.gateway.endpoint_client import ResponseEnd
 from guavalane_entry.hedged_race import Entrant
 
 # Minimum remaining time for another attempt, in seconds.
@@ -30,6 +31,7 @@
       longest_gap_s: Longest gap between two reads of its stream, in seconds.
       last_outcome: Outcome of the attempt before; empty at the first one.
       last_status: Status of the last endpoint response; None without one.
+      response_end: What ended the body that was forwarded; None before.
       last_failure: Status, headers and body of an endpoint's error response,
           forwarded if no attempt succeeds.
       active: Attempts in flight.
@@ -47,6 +49,7 @@
     longest_gap_s: float = 0.0
     last_outcome: str = ""
     last_status: int | None = None
+    response_end: ResponseEnd | None = None
     last_failure: tuple[int, list[tuple[str, str]], bytes] | None = None
     active: int = 0
     has_hedge: bool = False
@@ -68,6 +71,7 @@
       sample: Measurement of its version.
       status: Status of the response; None without one.
       connection: Number of the connection of the response; None without one.
+      end: What ends the body of the response; None without one.
       had_room: Whether the endpoint rejected it although it could have run it.
       responding: Whether the response has begun.
       output_s: Monotonic time at which its output began, in seconds; None
@@ -87,6 +91,7 @@
     sample: AttemptSample | None = None
     status: int | None = None
     connection: int | None = None
+    end: ResponseEnd | None = None
     had_room: bool = False
     responding: bool = False
     output_s: float | None = None
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -95,6 +95,7 @@
         endpoint = attempt.endpoint
         attempt.status = response.status
         attempt.connection = response.connection
+        attempt.end = response.end
         if attempt.has_won:
             self._progress.last_status = response.status
         if response.skipped_copies:
@@ -144,6 +145,8 @@
             await self._forward_events(attempt, response)
         else:
             await self._forward_body(attempt, response, is_success)
+        self._progress.response_end = response.end
+        self._components.metrics.count("response_ends", response.end.value)
         self._components.view.ejector.on_success(endpoint.endpoint_id)
         return AttemptOutcome.ANSWERED
 
