Take a body for incomplete if its endpoint has been killed

Cause: the kernel ends the connections of a killed process in order if nothing is unread, as the process does after a complete body. The node took the order of the end for proof that the body was whole.

Change: after a body that ended with its connection, the node opens a connection to its endpoint. The body is incomplete if nothing listens there, or if another process has the endpoint's identifier: it goes on elsewhere if the request may be repeated, and is broken off otherwise. An endpoint that leaves may stop listening before its last answer ends, and a silent one may have lost a packet: these are repeated if that is possible, and taken for complete otherwise. A killed process leaves a port without a listener, so nothing else is needed, and only the end of such a body waits, for one round trip.

Streams with a length or chunks need no check.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from guavalane_core.forwarding import Endpoint
+from guavalane_core.forwarding.body_end import Reachability
 from guavalane_core.limits.body_memory import HeldBody
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import LoopTimers
@@ -194,24 +195,21 @@
         return await asyncio.shield(check)
 
     async def _accepts_connection(self, endpoint: Endpoint) -> bool:
-        try:
-            await _open_and_close(endpoint)
-        except (OSError, TimeoutError, ValueError):
-            return False
-        return True
+        return await self.probe(endpoint) is Reachability.ACCEPTS
 
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
-        """Returns whether nothing listens on an endpoint's port.
+        """Returns whether nothing listens on an endpoint's port."""
+        return await self.probe(endpoint) is Reachability.REFUSES
 
-        It is false if the endpoint does not respond at all.
-        """
+    async def probe(self, endpoint: Endpoint) -> Reachability:
+        """Returns what a new connection to an endpoint shows."""
         try:
             await _open_and_close(endpoint)
         except ConnectionRefusedError:
-            return True
+            return Reachability.REFUSES
         except (OSError, TimeoutError, ValueError):
-            return False
-        return False
+            return Reachability.SILENT
+        return Reachability.ACCEPTS
 
     @contextlib.asynccontextmanager
     async def send(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -16,6 +16,7 @@
 from guavalane_core.placement import ServerLoad, has_room
 from guavalane_entry.gateway.admission import AdmittedRequest
 from guavalane_entry.gateway.components import GatewayComponents
+from guavalane_entry.gateway.end_check import EndCheck
 from guavalane_entry.gateway.endpoint_client import (
     BrokenResponseError,
     EndpointResponse,
@@ -52,8 +53,8 @@
       progress: Progress of the request, which is updated.
       deadline_s: Deadline of the request on the monotonic clock.
       on_first_event: Called when an engine sends the first event.
-      can_continue: Returns whether another endpoint could end a stalled stream
-          in time.
+      can_continue: Returns whether another endpoint could go on with the
+          request in time.
       hedging: Hedged attempts at the request.
     """
 
@@ -79,6 +80,7 @@
         self._can_continue = can_continue
         self._hedging = hedging
         self._gaps = components.view.event_gaps
+        self._end_check = EndCheck(components, request, admitted, can_continue)
 
     async def handle(
         self, attempt: AttemptState, response: EndpointResponse
@@ -232,6 +234,7 @@
         if is_success:
             self._hedging.on_first_response(attempt)
         body = await response.read_whole()
+        await self._end_check.check(attempt, response)
         await self._claim(attempt)
         headers = self._components.codec.response_headers(response.headers)
         if response.framed:
@@ -281,6 +284,7 @@
                 waiting_since_s = self._now()
         if splitter.partial:
             raise BrokenResponseError("the stream ends within an event")
+        await self._end_check.check(attempt, response)
         await self._claim(attempt)
         await self._start_stream(response)
         if held:
--- a/packages/guavalane-entry/tests/gateway/test_response_ends.py
+++ b/packages/guavalane-entry/tests/gateway/test_response_ends.py
@@ -4,11 +4,13 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from guavalane_core.forwarding import Delivery, Engine
 from guavalane_standins.forwarding_samples import (
     make_configuration,
+    make_endpoint,
     make_route,
 )
 from guavalane_standins.gateway_rig import (
@@ -42,8 +44,13 @@
     return rig, lines
 
 
-def answer_with(framing):
-    """Returns the script of an endpoint that answers and closes."""
+def answer_with(framing, before_close=lambda: None):
+    """Returns the script of an endpoint that answers and closes.
+
+    Args:
+      framing: What ends the body.
+      before_close: Called before the endpoint closes the connection.
+    """
     header, body = FRAMINGS[framing]
 
     async def answer(exchange):
@@ -54,11 +61,30 @@
             header,
         )
         await exchange.send("\r\n".join((*head, "", "")).encode() + body)
+        before_close()
         await exchange.close()
 
     return answer
 
 
+async def add_killed_endpoint(rig):
+    """Adds an endpoint that is killed during its answer.
+
+    Another one accepts requests from then on. Returns the other one.
+    """
+    killed = await rig.add_endpoint(None, "e-1")
+    other = await rig.add_endpoint(
+        answer_with("connection"), "e-2", leaving=True
+    )
+
+    def kill():
+        killed.stop_listening()
+        rig.view.directory.put(make_endpoint("e-3", address=other.address))
+
+    killed.script = answer_with("connection", kill)
+    return other
+
+
 async def call(rig):
     """Sends a request and returns the bytes of the answer."""
     reader, writer = await send_request(
@@ -84,3 +110,63 @@
         (fields,) = [f for event, f in lines if event == "request.answered"]
         assert fields["response_end"] == framing
         assert rig.metrics.total("response_ends") == 1
+
+
+class TestKilledEndpoints:
+    """Guards against cut bodies that look complete."""
+
+    @pytest.mark.parametrize(
+        "delivery", [Delivery.STREAM, Delivery.AT_MOST_ONCE]
+    )
+    async def test_the_body_of_a_killed_endpoint_is_not_complete(
+        self, delivery
+    ):
+        rig, lines = make_rig(delivery, resumable=False)
+        async with rig:
+            other = await add_killed_endpoint(rig)
+            try:
+                answer = await call(rig)
+            except ConnectionResetError:
+                answer = b""
+            assert not answer or answer.startswith(b"HTTP/1.1 502 ")
+            assert not other.requests
+        assert "request.answered" not in [event for event, _ in lines]
+
+    async def test_a_resumable_stream_goes_on_elsewhere(self):
+        rig, _ = make_rig(Delivery.STREAM, resumable=True, max_endpoints=2)
+        async with rig:
+            other = await add_killed_endpoint(rig)
+            answer = await call(rig)
+        assert other.requests[0].header(NAMES.resume_after) == "2"
+        assert answer.endswith(b"\r\n\r\n" + EVENTS + EVENTS)
+
+    async def test_an_idempotent_request_is_sent_again(self):
+        rig, _ = make_rig(Delivery.IDEMPOTENT, max_endpoints=2)
+        async with rig:
+            other = await add_killed_endpoint(rig)
+            assert (await call(rig)).endswith(b"\r\n\r\n" + EVENTS)
+            assert other.requests
+
+    async def test_the_body_of_an_endpoint_that_leaves_is_complete(self):
+        rig, lines = make_rig(Delivery.STREAM, resumable=False)
+        async with rig:
+            endpoint = await rig.add_endpoint(None)
+
+            def leave():
+                known = rig.view.directory.get("e-1")
+                rig.view.directory.put(attrs.evolve(known, leaving=True))
+                endpoint.stop_listening()
+
+            endpoint.script = answer_with("connection", leave)
+            assert (await call(rig)).endswith(b"\r\n\r\n" + EVENTS)
+        (fields,) = [f for e, f in lines if e == "attempt.end_checked"]
+        assert fields["leaving"] and fields["complete"]
+
+    @pytest.mark.parametrize("framing", ["length", "last_chunk"])
+    async def test_a_delimited_body_needs_no_check(self, framing):
+        rig, lines = make_rig(Delivery.STREAM)
+        async with rig:
+            endpoint = await rig.add_endpoint(None)
+            endpoint.script = answer_with(framing, endpoint.stop_listening)
+            assert (await call(rig)).startswith(b"HTTP/1.1 200 ")
+        assert "attempt.end_checked" not in [event for event, _ in lines]
