Recognize a killed endpoint whose entry or listening socket goes later

Callers saw: with two nodes and five endpoints as real processes, 14 of 172 streams whose endpoint was killed still ended as complete with the check of the end, and 23 of 173 before the entry of a killed endpoint was told from that of one that leaves.

Cause: two races. The store may remove the entry of a killed endpoint before the node reads the end of its streams, which then looked like a planned leave. And the kernel closes the connections of a killed process before its listening socket, so a connection at once may still be accepted.

Change: an endpoint counts as one that leaves only if its entry was removed 1 s before, as those that leave serve on for 2 s and more; the directory keeps the time of removals. The connection is opened 5 ms after the end.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/end_check.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/end_check.py
@@ -15,9 +15,15 @@
 )
 from guavalane_entry.gateway.progress import AttemptState
 
+# Time after the end of a body at which its endpoint is probed, in seconds. The
+# kernel closes the listening socket of a killed process after its connections.
+PROBE_DELAY_S = 0.005
 # Connections that are tried until one shows whether the endpoint still listens.
 # A lost packet delays one by more than the timeout.
 MAX_PROBES = 2
+# Time for which an endpoint that leaves as planned serves on at least after its
+# entry was removed, in seconds. The operators state 2 s and more.
+MIN_LEAVING_S = 1.0
 
 
 class EndCheck:
@@ -58,10 +64,11 @@
         if response.end is not ResponseEnd.CONNECTION:
             return
         endpoint = attempt.endpoint
+        directory = self._components.view.directory
+        leaving = self._is_leaving(endpoint)
         reachability = await self._probe(endpoint)
-        known = self._components.view.directory.get(endpoint.endpoint_id)
+        known = directory.get(endpoint.endpoint_id)
         restarted = known is not None and known.process != endpoint.process
-        leaving = known is None or known.leaving
         is_cut = is_cut_off(
             reachability,
             restarted=restarted,
@@ -84,7 +91,21 @@
                 f" ({reachability.value})"
             )
 
+    def _is_leaving(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint has left, or leaves, as planned.
+
+        The entry of a killed endpoint may be removed in the same moment.
+        """
+        directory = self._components.view.directory
+        known = directory.get(endpoint.endpoint_id)
+        if known is not None:
+            return known.leaving
+        removed_s = directory.removed_s(endpoint)
+        now_s = self._components.view.timers.now()
+        return removed_s is None or now_s - removed_s >= MIN_LEAVING_S
+
     async def _probe(self, endpoint: Endpoint) -> Reachability:
+        await self._components.view.timers.sleep(PROBE_DELAY_S)
         for _ in range(MAX_PROBES):
             reachability = await self._components.endpoint_client.probe(
                 endpoint
--- a/packages/guavalane-entry/tests/gateway/test_response_ends.py
+++ b/packages/guavalane-entry/tests/gateway/test_response_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import attrs
 import pytest
@@ -162,6 +163,27 @@
         (fields,) = [f for e, f in lines if e == "attempt.end_checked"]
         assert fields["leaving"] and fields["complete"]
 
+    @pytest.mark.parametrize(
+        ("removed_ago_s", "complete"), [(0.0, False), (3.0, True)]
+    )
+    async def test_an_endpoint_whose_entry_was_just_removed_has_not_left(
+        self, removed_ago_s, complete
+    ):
+        rig, lines = make_rig(Delivery.STREAM, resumable=False)
+        async with rig:
+            endpoint = await rig.add_endpoint(None)
+
+            def end():
+                removed_s = rig.view.timers.now() - removed_ago_s
+                rig.view.directory.remove("e-1", removed_s)
+                endpoint.stop_listening()
+
+            endpoint.script = answer_with("connection", end)
+            with contextlib.suppress(ConnectionResetError):
+                await call(rig)
+        (fields,) = [f for e, f in lines if e == "attempt.end_checked"]
+        assert fields["complete"] is complete
+
     @pytest.mark.parametrize("framing", ["length", "last_chunk"])
     async def test_a_delimited_body_needs_no_check(self, framing):
         rig, lines = make_rig(Delivery.STREAM)
