Check the end of plain answers at the chat interface as well

Callers of the chat interface saw: a part of the answer of a plain service that ended in order, if the process of the service was killed and its answer had neither a length nor chunks.

Change: what ends a response, the probe of its server and the wait before it are in guavalane_entry/response_end.py, and both clients use them. The answer of a killed service is an attempt whose outcome is unknown.

--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -10,12 +10,14 @@
 import aiohttp
 import attrs
 from loguru import logger as log
+from yarl import URL
 
 from guavalane_core.exceptions import (
     AttemptError,
     DeadlineExceededError,
     InvalidRequestError,
 )
+from guavalane_core.forwarding.body_end import Reachability
 from guavalane_core.requests import RequestContext
 from guavalane_core.routing import EndpointView
 from guavalane_core.streams import parse_prompt_usage
@@ -30,6 +32,12 @@
 from guavalane_entry.http_connection import BoundedConnector
 from guavalane_entry.http_session import make_session
 from guavalane_entry.large_bodies import payload_of
+from guavalane_entry.response_end import (
+    ResponseEnd,
+    end_of,
+    probe,
+    probe_after_end,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 MIN_ATTEMPT_S = 0.001
@@ -277,6 +285,7 @@
             ) as answer:
                 try:
                     body = await self._read_body(view, answer)
+                    await self._check_end(view, answer)
                 except TimeoutError as error:
                     self._check_timeout(request, started)
                     raise AttemptError(repr(error), sent=True) from None
@@ -500,6 +509,28 @@
         finally:
             self._bounds.memory.close(held)
 
+    async def _check_end(
+        self, view: EndpointView, answer: aiohttp.ClientResponse
+    ) -> None:
+        """Checks a body that ended with its connection.
+
+        A killed endpoint ends it in the same way as a complete one.
+
+        Raises:
+          AttemptError: Nothing listens on the endpoint's port any more.
+        """
+        if end_of(answer) is not ResponseEnd.CONNECTION or view.leaving:
+            return
+        url = URL(view.endpoint.url)
+        reachability = await probe_after_end(
+            self._timers, lambda: probe(url.host, url.port, CONNECT_TIMEOUT_S)
+        )
+        if reachability is Reachability.REFUSES:
+            raise AttemptError(
+                f"{view.name}: may have been killed at the end of its answer",
+                sent=True,
+            )
+
     async def _read_end(self, answer: aiohttp.ClientResponse) -> None:
         # A connection is reused only if the response body was read to its end.
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/end_check.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/end_check.py
@@ -5,22 +5,16 @@
 from collections.abc import Callable
 
 from guavalane_core.forwarding import CallerRequest, Endpoint
-from guavalane_core.forwarding.body_end import Reachability, is_cut_off
+from guavalane_core.forwarding.body_end import is_cut_off
 from guavalane_entry.gateway.admission import AdmittedRequest
 from guavalane_entry.gateway.components import GatewayComponents
 from guavalane_entry.gateway.endpoint_client import (
     BrokenResponseError,
     EndpointResponse,
-    ResponseEnd,
 )
 from guavalane_entry.gateway.progress import AttemptState
+from guavalane_entry.response_end import ResponseEnd, probe_after_end
 
-# Time after the end of a body at which its endpoint is probed, in seconds. The
-# kernel closes the listening socket of a killed process after its connections.
-PROBE_DELAY_S = 0.005
-# Connections that are tried until one shows whether the endpoint still listens.
-# A lost packet delays one by more than the timeout.
-MAX_PROBES = 2
 # Time for which an endpoint that leaves as planned serves on at least after its
 # entry was removed, in seconds. The operators state 2 s and more.
 MIN_LEAVING_S = 1.0
@@ -66,7 +60,10 @@
         endpoint = attempt.endpoint
         directory = self._components.view.directory
         leaving = self._is_leaving(endpoint)
-        reachability = await self._probe(endpoint)
+        reachability = await probe_after_end(
+            self._components.view.timers,
+            lambda: self._components.endpoint_client.probe(endpoint),
+        )
         known = directory.get(endpoint.endpoint_id)
         restarted = known is not None and known.process != endpoint.process
         is_cut = is_cut_off(
@@ -103,13 +100,3 @@
         removed_s = directory.removed_s(endpoint)
         now_s = self._components.view.timers.now()
         return removed_s is None or now_s - removed_s >= MIN_LEAVING_S
-
-    async def _probe(self, endpoint: Endpoint) -> Reachability:
-        await self._components.view.timers.sleep(PROBE_DELAY_S)
-        for _ in range(MAX_PROBES):
-            reachability = await self._components.endpoint_client.probe(
-                endpoint
-            )
-            if reachability is not Reachability.SILENT:
-                break
-        return reachability
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import enum
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -31,6 +30,7 @@
 )
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 from guavalane_entry.large_bodies import payload_of
+from guavalane_entry.response_end import ResponseEnd, end_of, probe
 
 # Connect timeout in seconds. Endpoints are at most a few milliseconds away, so
 # a slower one is down or unreachable.
@@ -52,16 +52,6 @@
     """The response is missing, incomplete or to another request."""
 
 
-class ResponseEnd(enum.StrEnum):
-    """What ends the body of a response."""
-
-    LENGTH = "length"
-    LAST_CHUNK = "last_chunk"
-    CONNECTION = "connection"
-    # Responses to HEAD, and statuses that have no body.
-    HEAD = "head"
-
-
 @attrs.frozen(eq=False)
 class EndpointResponse:
     """Status and headers of an endpoint response, with access to its body.
@@ -91,13 +81,7 @@
     @property
     def end(self) -> ResponseEnd:
         """What ends the body."""
-        if self.response.content is aiohttp.streams.EMPTY_PAYLOAD:
-            return ResponseEnd.HEAD
-        if "Transfer-Encoding" in self.response.headers:
-            return ResponseEnd.LAST_CHUNK
-        if "Content-Length" in self.response.headers:
-            return ResponseEnd.LENGTH
-        return ResponseEnd.CONNECTION
+        return end_of(self.response)
 
     @property
     def is_attributable(self) -> bool:
@@ -204,12 +188,10 @@
     async def probe(self, endpoint: Endpoint) -> Reachability:
         """Returns what a new connection to an endpoint shows."""
         try:
-            await _open_and_close(endpoint)
-        except ConnectionRefusedError:
-            return Reachability.REFUSES
-        except (OSError, TimeoutError, ValueError):
+            address = Address.parse(endpoint.address)
+        except ValueError:
             return Reachability.SILENT
-        return Reachability.ACCEPTS
+        return await probe(address.host, address.port, CONNECT_TIMEOUT_S)
 
     @contextlib.asynccontextmanager
     async def send(
@@ -290,20 +272,6 @@
             response.close()
 
 
-async def _open_and_close(endpoint: Endpoint) -> None:
-    """Opens a connection to an endpoint and closes it.
-
-    Raises:
-      OSError: The connection was refused or failed.
-      TimeoutError: The endpoint does not respond.
-      ValueError: The address is invalid.
-    """
-    address = Address.parse(endpoint.address)
-    async with asyncio.timeout(CONNECT_TIMEOUT_S):
-        _, writer = await asyncio.open_connection(address.host, address.port)
-    writer.close()
-
-
 def _open_session(idle_s: float) -> aiohttp.ClientSession:
     connector = BoundedConnector(
         limit=0,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -7,8 +7,8 @@
 from guavalane_core.forwarding import AttemptOutcome, Endpoint
 from guavalane_core.moves.samples import AttemptSample
 from guavalane_core.placement import Candidate, Work
-from guavalane_entry.gateway.endpoint_client import ResponseEnd
 from guavalane_entry.hedged_race import Entrant
+from guavalane_entry.response_end import ResponseEnd
 
 # Minimum remaining time for another attempt, in seconds.
 MIN_ATTEMPT_TIME_S = 0.05
--- a/packages/guavalane-entry/tests/test_broken_responses.py
+++ b/packages/guavalane-entry/tests/test_broken_responses.py
@@ -33,6 +33,7 @@
     End,
     listen,
     listen_at_once,
+    listen_until_killed,
     reset_server,
     status_server,
 )
@@ -154,6 +155,22 @@
 }
 
 
+class TestKilledService:
+    """Guards against cut answers that look whole at the chat interface."""
+
+    @pytest.mark.parametrize("client", ["chat", "chat, idempotent"])
+    async def test_the_answer_of_a_killed_service_is_not_complete(self, client):
+        call, expected = CALLS[client]
+        async with listen_until_killed(HEAD + b"a part") as address:
+            with pytest.raises(expected, match="killed"):
+                await call(address)
+
+    async def test_the_answer_of_a_listening_service_is_complete(self):
+        async with listen_at_once(lambda head: HEAD + b"x", End.CLOSE) as at:
+            answer = await call_service(at)
+        assert answer.body == b"x"
+
+
 @pytest.mark.parametrize("client", CALLS)
 class TestClients:
     """Guards against broken responses that look like answers."""
--- a/packages/guavalane-standins/src/guavalane_standins/broken_server.py
+++ b/packages/guavalane-standins/src/guavalane_standins/broken_server.py
@@ -66,6 +66,33 @@
         server.close()
 
 
+@contextlib.asynccontextmanager
+async def listen_until_killed(response: bytes) -> AsyncIterator[str]:
+    """Ends as a killed process does after one response; yields the address.
+
+    Nothing listens any more, and the connection ends in order.
+
+    Args:
+      response: Response, as it is sent.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(HEAD_END)
+        writer.write(response)
+        await writer.drain()
+        server.close()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        server.close()
+
+
 def status_server(status: bytes) -> Serve:
     """Returns a connection handler that answers a request with a status."""
 
