Show crowds that exceed the memory and descriptors of a node

The tests of crowds play 60 bodies, or 300 at 152 MB, sample the resident memory and leave out the bytes that the kernel holds unread, which the operators count as well.

The watch now reads the peak resident memory that the kernel records, and the receive queues of the listening address. Its bound is on the largest sum of resident memory and unread bytes. New crowds send unfinished bodies of four kinds, heads, trickling bodies, bodies that wait, rejected bodies to their end and pipelined requests, or do not read their answers.

--- a/packages/guavalane-entry/tests/test_crowd.py
+++ b/packages/guavalane-entry/tests/test_crowd.py
@@ -23,6 +23,21 @@
     "memory_mb": MEMORY_MB,
     "max_descriptors": MAX_FDS,
 }
+# A size at which a small crowd shows what is not bounded.
+TIGHT_LIMITS = {**LIMITS, "memory_mb": 110, "max_descriptors": 1535}
+TIGHT_CROWD = 300
+# Size of an answer that callers do not read, in bytes.
+LARGE_ANSWER_BYTES = 1_000_000
+# Sizes of a head, of a whole body that waits for an endpoint and of a request
+# without a body.
+HEAD_BYTES = 8000
+WAITING_BODY_BYTES = 60_000
+# Requests written at once on each connection.
+PIPELINE_DEPTH = 400
+# Time for a node to answer an ordinary request again, in seconds.
+ANSWER_LIMIT_S = 15.0
+# Attempts to send it.
+ANSWER_POLLS = 100
 # Status with which the service answers a request that it has run.
 CREATED = 201
 # Bodies of the crowd, which together exceed the memory.
@@ -41,11 +56,22 @@
 @pytest.fixture
 def cluster(group):
     """Returns the cluster of the node."""
+    return start_cluster(group, LIMITS)
+
+
+@pytest.fixture
+def tight_cluster(group):
+    """Returns the cluster of a node of a tight size."""
+    return start_cluster(group, TIGHT_LIMITS)
+
+
+def start_cluster(group, limits):
+    """Starts a node with its stand-ins."""
     cluster = Cluster(group)
     cluster.start_platform()
     cluster.start_engine("engine-a", "zone-a")
     cluster.start_service("service-a", "zone-a")
-    cluster.start_node("entry-a", "zone-a", limits=LIMITS)
+    cluster.start_node("entry-a", "zone-a", limits=limits)
     return cluster
 
 
@@ -106,3 +132,98 @@
             status, answer = await asyncio.to_thread(call, cluster, text)
         check(process, watch)
         assert status == CREATED, answer
+
+
+async def wait_answer(cluster):
+    """Waits until the node answers an ordinary request as run."""
+    async with asyncio.timeout(ANSWER_LIMIT_S):
+        for _ in range(ANSWER_POLLS):
+            if (await asyncio.to_thread(call, cluster))[0] == CREATED:
+                return
+            await asyncio.sleep(0.1)
+    raise TimeoutError("the node answers no ordinary request")
+
+
+async def play_tight(group, cluster, act):
+    """Plays a crowd at a node of a tight size and checks its limits.
+
+    An ordinary request has to be answered before the crowd leaves, and after.
+    """
+    process = group.process("entry-a")
+    address = cluster.nodes["entry-a"].callers.removeprefix("http://")
+    watch = ProcessWatch(process.pid, address)
+    async with watch.running():
+        async with Crowd(address, make_head) as crowd:
+            await act(crowd)
+            await wait_answer(cluster)
+        await wait_answer(cluster)
+    assert process.poll() is None
+    assert watch.max_held_bytes < TIGHT_LIMITS["memory_mb"] * BYTES_PER_MB
+    assert watch.max_descriptors <= TIGHT_LIMITS["max_descriptors"]
+
+
+class TestMemoryOfRequests:
+    """Guards against requests whose bytes exceed the memory of a node.
+
+    The bytes count that the node has not read as well.
+    """
+
+    async def test_unfinished_bodies_of_all_kinds(self, group, tight_cluster):
+        await play_tight(
+            group,
+            tight_cluster,
+            lambda crowd: crowd.send_mixed_bodies(TIGHT_CROWD, BODY_BYTES),
+        )
+
+    async def test_unfinished_heads(self, group, tight_cluster):
+        await play_tight(
+            group,
+            tight_cluster,
+            lambda crowd: crowd.send_heads(TIGHT_CROWD, HEAD_BYTES),
+        )
+
+    async def test_trickling_bodies(self, group, tight_cluster):
+        await play_tight(
+            group,
+            tight_cluster,
+            lambda crowd: crowd.trickle_bodies(TIGHT_CROWD, BODY_BYTES),
+        )
+
+    async def test_whole_bodies_that_wait(self, group, tight_cluster):
+        await play_tight(
+            group,
+            tight_cluster,
+            lambda crowd: crowd.send_whole_bodies(
+                TIGHT_CROWD, WAITING_BODY_BYTES
+            ),
+        )
+
+    async def test_rest_of_rejected_bodies(self, group, tight_cluster):
+        await play_tight(
+            group,
+            tight_cluster,
+            lambda crowd: crowd.send_whole_bodies(TIGHT_CROWD, 2 * BODY_BYTES),
+        )
+
+    async def test_requests_written_at_once(self, group, tight_cluster):
+        await play_tight(
+            group,
+            tight_cluster,
+            lambda crowd: crowd.send_pipelined(
+                TIGHT_CROWD, PIPELINE_DEPTH, HEAD_BYTES
+            ),
+        )
+
+
+class TestMemoryOfAnswers:
+    """Guards against callers whose answers exceed the memory of a node."""
+
+    async def test_callers_that_do_not_read(self, group, tight_cluster):
+        async def act(crowd):
+            tight_cluster.set_behaviour(
+                "service-a", padding_bytes=LARGE_ANSWER_BYTES
+            )
+            await crowd.leave_responses_unread(TIGHT_CROWD)
+            tight_cluster.set_behaviour("service-a", padding_bytes=0)
+
+        await play_tight(group, tight_cluster, act)
--- a/packages/guavalane-standins/src/guavalane_standins/service.py
+++ b/packages/guavalane-standins/src/guavalane_standins/service.py
@@ -25,6 +25,7 @@
           `Connection: close`.
       deduplicates: Whether a repeated idempotency key returns the stored
           response of the first call.
+      padding_bytes: Number of bytes added to each response.
     """
 
     delay_s: float = 0.005
@@ -32,6 +33,7 @@
     lose_answers: int = 0
     leaving: bool = False
     deduplicates: bool = False
+    padding_bytes: int = 0
 
 
 class Service:
@@ -83,6 +85,8 @@
             "serial": f"{self._name}-{len(self._calls) + 1}",
             "path": request.path,
         }
+        if self.behaviour.padding_bytes:
+            response["padding"] = "x" * self.behaviour.padding_bytes
         self._calls.append(
             {
                 "method": request.method,
