Take a stream for incomplete that ends before an event that had begun

Callers saw: a resumable stream that was reset within its fourth event ended as complete with three, if the endpoint that went on with it ended early in order.

Cause: the node dropped the begun event with the attempt, and with it the evidence that there is one more.

Change: the progress of a request remembers that an attempt broke off within an event. A stream that ends without a further event is broken off.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/progress.py
@@ -27,6 +27,8 @@
       counted_s: Estimated true time at which its usage was counted; None if
           it was not counted.
       first_event_s: Time from arrival to the first stream event, in seconds.
+      has_begun_event: Whether a stream was broken off within an event that no
+          attempt has sent since. A stream that ends without it is incomplete.
       events: Number of stream events that were forwarded.
       longest_gap_s: Longest gap between two reads of its stream, in seconds.
       last_outcome: Outcome of the attempt before; empty at the first one.
@@ -45,6 +47,7 @@
     last_event_id: str | None = None
     counted_s: float | None = None
     first_event_s: float | None = None
+    has_begun_event: bool = False
     events: int = 0
     longest_gap_s: float = 0.0
     last_outcome: str = ""
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/responses.py
@@ -252,7 +252,13 @@
         held: list[StreamEvent] = []
         read_s = waiting_since_s = self._now()
         while True:
-            data = await self._read_chunk(endpoint, response, waiting_since_s)
+            try:
+                data = await self._read_chunk(
+                    endpoint, response, waiting_since_s
+                )
+            except BrokenResponseError:
+                self._note_begun_event(splitter)
+                raise
             if data is None:
                 break
             try:
@@ -269,6 +275,7 @@
             held = []
             await self._claim(attempt)
             if count:
+                self._progress.has_begun_event = False
                 now_s = self._now()
                 self._record_event_times(now_s, now_s - read_s)
                 waited_s = now_s - waiting_since_s
@@ -283,7 +290,12 @@
                 # A caller that reads slowly does not make the stream stall.
                 waiting_since_s = self._now()
         if splitter.partial:
+            self._note_begun_event(splitter)
             raise BrokenResponseError("the stream ends within an event")
+        if self._progress.has_begun_event:
+            raise BrokenResponseError(
+                "the stream ends before an event that an earlier attempt began"
+            )
         await self._end_check.check(attempt, response)
         await self._claim(attempt)
         await self._start_stream(response)
@@ -294,6 +306,12 @@
             rates = self._components.view.rates(self._admitted.service.name)
             rates.on_run(self._now() - attempt.output_s)
 
+    def _note_begun_event(self, splitter: EventSplitter) -> None:
+        """Records that a stream was broken off within an event."""
+        begun = splitter.partial.lstrip(b"\r\n")
+        if begun and not begun.startswith(b":"):
+            self._progress.has_begun_event = True
+
     def _may_hold(
         self, attempt: AttemptState, comments: Sequence[StreamEvent]
     ) -> bool:
