Bound what the kernel and the loop hold of endpoints' answers

Operators saw: a process that ran out of memory under clients that it does not control. 300 callers that do not read an answer of 1 MB took 271 to 290 MB of a node of 110 MB.

Cause: the connections to endpoints had no limit on their receive buffer, and the event loop reads up to 256 KiB of each in one turn, before the account of bodies sees a byte.

Change: a receive buffer of 64 KiB. A smaller one (16 KiB) cut sound answers of 64 KiB whose endpoint resets the connection after its end (test_reset_bodies).

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -40,6 +41,10 @@
 # was sent, the gateway could not tell whether the request ran.
 REPEATABLE_IDLE_TIMEOUT_S = 8.0
 NON_REPEATABLE_IDLE_TIMEOUT_S = 1.5
+# Receive buffer of a connection to an endpoint in the kernel, in bytes. The
+# event loop otherwise reads up to 256 KiB of each response before the account
+# of bodies sees a byte.
+RECEIVE_BUFFER_BYTES = 65_536
 # Largest response body that is buffered before it is forwarded.
 MAX_WHOLE_BODY_BYTES = 16 * 1024 * 1024
 
@@ -129,7 +134,7 @@
         while (data := await self.read_chunk()) is not None:
             yield data
 
-    async def read_whole(self) -> bytes | bytearray:
+    async def read_whole(self) -> bytes:
         """Reads the complete body, which counts until `send` ends.
 
         Raises:
@@ -276,7 +281,9 @@
     connector = BoundedConnector(
         limit=0,
         keepalive_timeout=idle_s,
-        socket_factory=make_keepalive_socket,
+        socket_factory=functools.partial(
+            make_keepalive_socket, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+        ),
         use_dns_cache=False,
     )
     return make_session(
--- a/packages/guavalane-entry/src/guavalane_entry/http_session.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_session.py
@@ -53,6 +53,7 @@
     *,
     probes: int = KEEPALIVE_PROBES,
     user_timeout_ms: int = USER_TIMEOUT_MS,
+    receive_buffer_bytes: int | None = None,
 ) -> socket.socket:
     """Returns a TCP socket that detects an unresponsive peer.
 
@@ -62,10 +63,16 @@
           closed.
       user_timeout_ms: Time after which a connection with unacknowledged data
           is closed, in milliseconds.
+      receive_buffer_bytes: Size of its receive buffer, in bytes; by default
+          that of the system, which grows.
     """
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family, kind, protocol)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
