Parse one request of a connection in advance

Cause: the HTTP library parses 32 requests of a connection in advance, and has no parameter for it; 8,738 waiting requests held 165 MB.

Change: a parser that stops after one waiting request. The others stay in the kernel, whose buffer limits them.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from aiohttp.http import HttpVersion11
+from aiohttp.http_parser import HttpRequestParser
 from aiohttp.streams import StreamReader
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
@@ -58,7 +59,9 @@
 # Receive buffer of a caller's connection in the kernel, in bytes. The event
 # loop reads up to 256 KiB of each connection in one turn, before any handler
 # can refuse a body; with 300 connections, that was half of a small VM's memory.
-RECEIVE_BUFFER_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 16_384
+# Requests of a connection that are parsed while an earlier one is handled.
+MAX_QUEUED_REQUESTS = 1
 # Response to a header that took too long; the request was not processed.
 HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
@@ -269,6 +272,7 @@
         self._lingering = lingering
         self._timers = timers
         self._unanswered = unanswered
+        self._limit_pipeline(**named)
         self._header_since_s: float | None = None
         self._header_bytes = 0
         # Body of an answered request whose rest is discarded.
@@ -297,6 +301,33 @@
         excess = self._bounds.connections.open(self)
         if excess is not None and excess.transport is not None:
             excess.transport.abort()
+    def _limit_pipeline(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        max_line_size: int,
+        max_field_size: int,
+        read_bufsize: int,
+        **_: Any,
+    ) -> None:
+        """Makes the parser wait while a request waits for its handler.
+
+        aiohttp parses 32 requests in advance and has no parameter for this. The
+        bytes of the others stay in the kernel, which limits them.
+        """
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS - 1
+        self._parser = HttpRequestParser(
+            self,
+            loop,
+            read_bufsize,
+            max_line_size=max_line_size,
+            max_field_size=max_field_size,
+            payload_exception=RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=MAX_QUEUED_REQUESTS,
+        )
+
 
     def data_received(self, data: bytes) -> None:
         """Processes bytes from a caller."""
