Make the memory of callers' bodies and connections add up

Operators saw: a process that ran out of memory under many large bodies of legal size, most of which stop short of their end and stay open. 800 of them took 209 MB of a node of 152 MB, unread bytes included.

Cause: bodies that grow in one buffer left gaps in the heap that no other body fits in (79 of 191 MB were free but not returned); the kernel held up to 50 KB unread a connection; and connections were planned with 24 KiB, where a caller that fills its buffers takes four times that. The terms did not add up to the memory, so no single limit helped.

If requests run on all connections, the one whose caller has not read its response for longest gives way, so that ordinary callers get in. A head that is too large or late is answered, and the rest discarded: unread bytes reset the connection before the caller has the answer.

A test states that the terms leave a tenth of the memory.

--- a/packages/guavalane-core/src/guavalane_core/limits/body_memory.py
+++ b/packages/guavalane-core/src/guavalane_core/limits/body_memory.py
@@ -20,9 +20,9 @@
 # Memory of a process without bodies and connections, in bytes: the operators'
 # limit for a node that has started.
 BASE_BYTES = 70 * BYTES_PER_MB
-# Part of the other memory that bodies may take. The rest is for connections,
-# copies and fragmentation.
-BODY_FRACTION = 0.5
+# Part of the other memory that bodies may take. Connections take another part;
+# the rest is for free memory that the allocator keeps, and other copies.
+BODY_FRACTION = 0.4
 # Limit if the memory is unknown, in bytes: 24 bodies of 4 MiB. Beside
 # `BASE_BYTES` it suits nodes of 200 MB; smaller ones, of which the smallest
 # known have 152 MB, have to state their memory.
@@ -97,6 +97,7 @@
         self._large_limit_bytes = int(limit_bytes * (1 - RESERVED_FRACTION))
         self._held_bytes = 0
         self._large_bytes = 0
+        self._dropped_bytes = 0
         self._incomplete: set[HeldBody] = set()
         self._evictions: Counter[str] = Counter()
 
@@ -110,6 +111,11 @@
         """Bytes that are held."""
         return self._held_bytes
 
+    @property
+    def dropped_bytes(self) -> int:
+        """Bytes of bodies that were held since the start and are not now."""
+        return self._dropped_bytes
+
     @property
     def evictions(self) -> Counter[str]:
         """Number of evicted bodies by reason."""
@@ -171,6 +177,7 @@
                 self._evict(body, Eviction.STALLED)
 
     def _resize(self, body: HeldBody, size_bytes: int) -> None:
+        self._dropped_bytes += max(0, body.size_bytes - size_bytes)
         self._held_bytes -= body.size_bytes
         self._large_bytes -= body.size_bytes if body.is_large else 0
         body.size_bytes = size_bytes
--- a/packages/guavalane-core/src/guavalane_core/limits/connections.py
+++ b/packages/guavalane-core/src/guavalane_core/limits/connections.py
@@ -5,17 +5,25 @@
 from collections.abc import Hashable
 from typing import Generic, TypeVar
 
-from guavalane_core.limits.body_memory import BASE_BYTES, BYTES_PER_MB
+from guavalane_core.limits.body_memory import (
+    BASE_BYTES,
+    BYTES_PER_MB,
+    STALL_S,
+)
 
 # Descriptors that are kept for files.
 RESERVED_DESCRIPTORS = 200
 # Part of the other descriptors that callers may take. A request that runs takes
-# a second descriptor for the connection to its endpoint.
-CALLER_FRACTION = 0.5
-# Memory of a connection with its parser and buffers, in bytes, and the part of
-# the memory that connections may take beside bodies.
-CONNECTION_BYTES = 24 * 1024
-MEMORY_FRACTION = 0.25
+# a second one for the connection to its endpoint; a tenth is left for the
+# store, other nodes and the status addresses.
+CALLER_FRACTION = 0.45
+# Memory of a connection whose caller fills all its buffers, in bytes: unread
+# bytes in the kernel, bytes that wait for the account of bodies, the head with
+# its parsed form, and a request that waits for its handler. While a response is
+# forwarded, the buffers of the connection to its endpoint take their place.
+CONNECTION_BYTES = 96 * 1024
+# Part of the memory that connections may take beside bodies.
+MEMORY_FRACTION = 0.35
 # Lowest limit, for processes with few descriptors or little memory.
 MIN_CONNECTIONS = 16
 
@@ -41,7 +49,8 @@
     """Decides which connection is closed when callers open too many.
 
     A connection whose request was read completely is held: it is not closed
-    for space. The others are ordered by their last progress.
+    for space, unless its caller has stopped reading the response. The others
+    are ordered by their last progress.
 
     Args:
       limit: Number of connections.
@@ -53,6 +62,8 @@
         # The keys of a dict are ordered; the first one has been without
         # progress for the longest time.
         self._waiting: dict[T, None] = {}
+        # Monotonic time since which a caller does not read its response.
+        self._unread_since_s: dict[T, float] = {}
         self._closed = 0
 
     def __len__(self) -> int:
@@ -63,9 +74,13 @@
         """Number of connections that were closed for space."""
         return self._closed
 
-    def open(self, connection: T) -> T | None:
+    def open(self, connection: T, now_s: float) -> T | None:
         """Adds a connection.
 
+        Args:
+          connection: Connection.
+          now_s: Monotonic time in seconds.
+
         Returns:
           Connection that has to be closed, which is no longer counted. It is
           the new one if requests run on all others. None if there is space.
@@ -74,10 +89,27 @@
         if len(self) <= self._limit:
             return None
         victim = next(iter(self._waiting))
-        del self._waiting[victim]
+        if victim == connection:
+            victim = self._find_unread(now_s) or connection
+        self.close(victim)
         self._closed += 1
         return victim
 
+    def _find_unread(self, now_s: float) -> T | None:
+        """Returns the connection whose response is unread for longest."""
+        if not self._unread_since_s:
+            return None
+        connection, since_s = next(iter(self._unread_since_s.items()))
+        return connection if now_s - since_s >= STALL_S else None
+
+    def on_unread(self, connection: T, now_s: float) -> None:
+        """Records that a caller does not read its response for now."""
+        self._unread_since_s.setdefault(connection, now_s)
+
+    def on_read(self, connection: T) -> None:
+        """Records that a caller reads its response again."""
+        self._unread_since_s.pop(connection, None)
+
     def on_progress(self, connection: T) -> None:
         """Records that bytes have arrived on a connection."""
         if connection in self._waiting:
@@ -102,3 +134,4 @@
         """Removes a connection that has ended."""
         self._held.discard(connection)
         self._waiting.pop(connection, None)
+        self._unread_since_s.pop(connection, None)
--- a/packages/guavalane-core/tests/test_body_memory.py
+++ b/packages/guavalane-core/tests/test_body_memory.py
@@ -5,6 +5,8 @@
 import pytest
 
 from guavalane_core.limits.body_memory import (
+    BASE_BYTES,
+    BYTES_PER_MB,
     DEFAULT_LIMIT_BYTES,
     ORDINARY_BODY_BYTES,
     RESERVED_FRACTION,
@@ -14,6 +16,7 @@
     limit_of_memory,
 )
 from guavalane_core.limits.connections import (
+    CONNECTION_BYTES,
     MIN_CONNECTIONS,
     RESERVED_DESCRIPTORS,
     CallerConnections,
@@ -148,29 +151,41 @@
 
     def test_the_one_without_progress_for_longest_is_closed(self):
         connections = CallerConnections(2)
-        assert connections.open("a") is None
-        assert connections.open("b") is None
+        assert connections.open("a", 0.0) is None
+        assert connections.open("b", 0.0) is None
         connections.on_progress("a")
-        assert connections.open("c") == "b"
+        assert connections.open("c", 0.0) == "b"
         assert (len(connections), connections.closed) == (2, 1)
 
     def test_one_whose_request_runs_is_kept(self):
         connections = CallerConnections(2)
-        connections.open("a")
-        connections.open("b")
+        connections.open("a", 0.0)
+        connections.open("b", 0.0)
         connections.hold("a")
         connections.on_progress("a")
-        assert connections.open("c") == "b"
+        assert connections.open("c", 0.0) == "b"
         connections.hold("c")
-        assert connections.open("d") == "d"
+        assert connections.open("d", 0.0) == "d"
         connections.release("a")
-        assert connections.open("e") == "a"
+        assert connections.open("e", 0.0) == "a"
+
+    def test_one_whose_response_is_not_read_gives_way(self):
+        connections = CallerConnections(2)
+        for name in ("a", "b"):
+            connections.open(name, 0.0)
+            connections.hold(name)
+            connections.on_unread(name, 1.0)
+        connections.on_read("a")
+        assert connections.open("c", 1.9) == "c"
+        assert connections.open("c", 2.0) == "b"
+        connections.hold("c")
+        assert connections.open("d", 9.0) == "d"
 
     def test_a_closed_one_leaves_its_place(self):
         connections = CallerConnections(1)
-        connections.open("a")
+        connections.open("a", 0.0)
         connections.close("a")
-        assert connections.open("b") is None
+        assert connections.open("b", 0.0) is None
         connections.release("a")
         assert len(connections) == 1
 
@@ -181,5 +196,16 @@
             assert 2 * limit <= descriptors - RESERVED_DESCRIPTORS
         assert connection_limit(1, 0) == MIN_CONNECTIONS
 
+    @pytest.mark.parametrize("memory_mb", [152, 200, 300, 552])
+    def test_bodies_and_connections_fit_beside_a_started_node(self, memory_mb):
+        connections = connection_limit(1_000_000, memory_mb)
+        taken = (
+            BASE_BYTES
+            + limit_of_memory(memory_mb)
+            + connections * CONNECTION_BYTES
+        )
+        # A tenth is left for what the allocator keeps.
+        assert taken <= 0.9 * memory_mb * BYTES_PER_MB
+
     def test_the_limit_follows_a_small_memory(self):
         assert connection_limit(8192, 200) < connection_limit(8192, 552)
--- a/packages/guavalane-entry/src/guavalane_entry/caller_bounds.py
+++ b/packages/guavalane-entry/src/guavalane_entry/caller_bounds.py
@@ -10,7 +10,6 @@
 import attrs
 
 from guavalane_core.limits.body_memory import (
-    ORDINARY_BODY_BYTES,
     BodyMemory,
     Eviction,
     HeldBody,
@@ -21,6 +20,8 @@
     connection_limit,
 )
 from guavalane_core.timers import Timers
+from guavalane_entry.free_memory import FreeMemory
+from guavalane_entry.large_bodies import BodyParts
 
 # Interval between checks for stalled bodies, in seconds.
 CHECK_PERIOD_S = 0.25
@@ -54,12 +55,9 @@
     timers: Timers,
     read: Callable[[], Awaitable[bytes | None]],
     max_bytes: int,
-) -> bytes | bytearray:
+) -> bytes:
     """Reads a body while its entry is not evicted.
 
-    A large body is returned as it was collected, since a copy would take its
-    memory twice.
-
     Args:
       memory: Account of the bodies.
       body: Entry of the body, which the caller closes.
@@ -71,7 +69,7 @@
       BodyEvictedError: The body was evicted.
       BodySizeError: The body is too large.
     """
-    data = bytearray()
+    data = BodyParts()
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(None) as scope:
@@ -86,7 +84,7 @@
                     raise BodySizeError(f"the body exceeds {max_bytes} bytes")
                 if not memory.grow(body, len(part), timers.now()):
                     break
-                data += part
+                data.append(part)
     except TimeoutError:
         if body.evicted is None:
             raise
@@ -95,7 +93,7 @@
     if body.evicted is not None:
         raise BodyEvictedError(body.evicted)
     memory.complete(body)
-    return data if len(data) > ORDINARY_BODY_BYTES else bytes(data)
+    return data.join()
 
 
 def _open_descriptor_limit() -> int:
@@ -145,6 +143,7 @@
         self._timers = timers
         self._report = report
         self._reported = 0
+        self._free_memory = FreeMemory()
         self.memory = BodyMemory(limit_of_memory(memory_mb))
         descriptors = max_descriptors or _open_descriptor_limit()
         self.connections: CallerConnections[Any] = CallerConnections(
@@ -172,12 +171,20 @@
             announced_bytes, self._timers.now(), is_request=is_request
         )
 
+    def open_connection(self, connection: Any) -> Any:
+        """Adds a connection; see `CallerConnections.open`."""
+        return self.connections.open(connection, self._timers.now())
+
+    def on_unread(self, connection: Any) -> None:
+        """Records that a caller does not read; see `CallerConnections`."""
+        self.connections.on_unread(connection, self._timers.now())
+
     async def collect(
         self,
         body: HeldBody,
         read: Callable[[], Awaitable[bytes | None]],
         max_bytes: int,
-    ) -> bytes | bytearray:
+    ) -> bytes:
         """Reads a body; see `collect_body`."""
         return await collect_body(
             self.memory, body, self._timers, read, max_bytes
@@ -186,6 +193,8 @@
     def check(self, idle_timeout_s: float) -> None:
         """Evicts bodies without progress and reports what was limited.
 
+        It also returns the memory of dropped bodies to the system.
+
         The totals since the start are reported if a body was evicted or a
         connection was closed since the last check.
 
@@ -193,6 +202,7 @@
           idle_timeout_s: Longest time without progress, in seconds.
         """
         self.memory.evict_stalled(idle_timeout_s, self._timers.now())
+        self._free_memory.check(self.memory.dropped_bytes)
         evictions = self.memory.evictions
         total = evictions.total() + self.connections.closed
         if total != self._reported:
--- a/packages/guavalane-entry/src/guavalane_entry/callers/protocol.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/protocol.py
@@ -84,7 +84,7 @@
     def connection_made(self, transport: Any) -> None:
         """Counts a connection, and closes one if there are too many."""
         super().connection_made(transport)
-        excess = self.bounds.connections.open(self)
+        excess = self.bounds.open_connection(self)
         if excess is not None and excess.transport is not None:
             excess.transport.abort()
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -279,6 +279,8 @@
         self._discarded: StreamReader | None = None
         self._handled = False
         # Whether the header of a request was read whose handler has not
+        # Whether the response to an incomplete header was sent.
+        self._is_rejected = False
         # started.
         self._has_queued_request = False
         self._reply: ConnectionReply | None = None
@@ -295,12 +297,6 @@
             return 0.0
         return self._timers.now() - self._header_since_s
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Counts a connection, and closes one if there are too many."""
-        super().connection_made(transport)
-        excess = self._bounds.connections.open(self)
-        if excess is not None and excess.transport is not None:
-            excess.transport.abort()
     def _limit_pipeline(
         self,
         *,
@@ -332,6 +328,22 @@
     def data_received(self, data: bytes) -> None:
         """Processes bytes from a caller."""
         self._bounds.connections.on_progress(self)
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts a connection, and closes one if there are too many."""
+        super().connection_made(transport)
+        excess = self._bounds.open_connection(self)
+        if excess is not None and excess.transport is not None:
+            excess.transport.abort()
+
+    def pause_writing(self) -> None:
+        """Records that the caller does not read its response."""
+        super().pause_writing()
+        self._bounds.on_unread(self)
+
+    def resume_writing(self) -> None:
+        """Records that the caller reads its response again."""
+        super().resume_writing()
+        self._bounds.connections.on_read(self)
         # The HTTP library passes no bytes when it resumes the parser.
         is_header = bool(data) and not self._discards()
         if is_header:
@@ -351,6 +363,8 @@
         else:
             self._receive_header(len(data))
 
+        if self._is_rejected:
+            return
     def _discards(self) -> bool:
         """Returns whether the rest of an answered request still arrives."""
         if self._discarded is not None and self._discarded.is_eof():
@@ -412,11 +426,19 @@
         self._end_header(HEADER_TIMEOUT_RESPONSE)
 
     def _end_header(self, response: bytes) -> None:
-        """Closes the connection with a response to an incomplete header."""
+        """Closes the connection with a response to an incomplete header.
+
+        The caller may still send, and unread bytes would reset the connection,
+        so what arrives is discarded for a short time.
+        """
         self._header_since_s = None
-        if self.transport is not None:
-            self.transport.write(response)
-        self.force_close()
+        self._is_rejected = True
+        self._unanswered.discard(self)
+        if self.transport is None:
+            return
+        self.transport.write(response)
+        self.transport.write_eof()
+        self._timers.call_later(LINGERING_TIME_S, self.force_close)
 
 
 class _LimitedServer(Server):
--- a/packages/guavalane-entry/src/guavalane_entry/large_bodies.py
+++ b/packages/guavalane-entry/src/guavalane_entry/large_bodies.py
@@ -14,6 +14,51 @@
 SLICE_BYTES = 128 * 1024
 
 
+# Parts of a body below this size, in bytes, are joined until they reach it: a
+# caller that sends single bytes must not cost an object for each.
+MIN_PART_BYTES = 4096
+
+
+class BodyParts:
+    """Bytes of a body as they arrived.
+
+    A buffer that grows is moved again and again, and the gaps that it leaves
+    are too small for the next one: with 800 bodies of 4 MiB, half of the memory
+    of a process was free but not returned.
+    """
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self._tail = bytearray()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def append(self, data: bytes) -> None:
+        """Adds bytes at the end."""
+        self._size += len(data)
+        if self._tail or len(data) < MIN_PART_BYTES:
+            self._tail += data
+            if len(self._tail) >= MIN_PART_BYTES:
+                self._parts.append(bytes(self._tail))
+                self._tail = bytearray()
+        else:
+            self._parts.append(data)
+
+    def clear(self) -> None:
+        """Drops all bytes."""
+        self._parts.clear()
+        self._tail = bytearray()
+        self._size = 0
+
+    def join(self) -> bytes:
+        """Returns all bytes, and drops them."""
+        body = b"".join([*self._parts, self._tail])
+        self.clear()
+        return body
+
+
 def slices_of(body: bytes | bytearray) -> Iterator[memoryview]:
     """Yields a body in slices that refer to it."""
     view = memoryview(body)
