Bound the connections of the readiness and metrics addresses

Cause: only the address for callers had a limit on its connections.

Change: 32 connections each; the one without progress for longest gives way. The address between nodes has no limit, as only nodes use it.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -23,6 +23,7 @@
     Eviction,
     HeldBody,
 )
+from guavalane_core.limits.connections import CallerConnections
 from guavalane_core.timers import Subscription, Timers
 from guavalane_entry.caller_bounds import (
     CHECK_PERIOD_S,
@@ -74,6 +75,9 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+# Connections of the readiness address, and of the metrics. The platform and the
+# operators open one each.
+MAX_STATUS_CONNECTIONS = 32
 # Time for connections to close on shutdown, in seconds. aiohttp treats 0 as no
 # limit.
 CLOSE_TIMEOUT_S = 0.1
@@ -268,19 +272,19 @@
         **named: Any,
     ) -> None:
         super().__init__(*arguments, **named)
+        self._limit_pipeline(**named)
         self._bounds = bounds
         self._lingering = lingering
         self._timers = timers
         self._unanswered = unanswered
-        self._limit_pipeline(**named)
         self._header_since_s: float | None = None
         self._header_bytes = 0
+        # Whether the response to an incomplete header was sent.
+        self._is_rejected = False
         # Body of an answered request whose rest is discarded.
         self._discarded: StreamReader | None = None
         self._handled = False
         # Whether the header of a request was read whose handler has not
-        # Whether the response to an incomplete header was sent.
-        self._is_rejected = False
         # started.
         self._has_queued_request = False
         self._reply: ConnectionReply | None = None
@@ -324,10 +328,6 @@
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
 
-
-    def data_received(self, data: bytes) -> None:
-        """Processes bytes from a caller."""
-        self._bounds.connections.on_progress(self)
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts a connection, and closes one if there are too many."""
         super().connection_made(transport)
@@ -344,6 +344,12 @@
         """Records that the caller reads its response again."""
         super().resume_writing()
         self._bounds.connections.on_read(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Processes bytes from a caller."""
+        if self._is_rejected:
+            return
+        self._bounds.connections.on_progress(self)
         # The HTTP library passes no bytes when it resumes the parser.
         is_header = bool(data) and not self._discards()
         if is_header:
@@ -363,8 +369,6 @@
         else:
             self._receive_header(len(data))
 
-        if self._is_rejected:
-            return
     def _discards(self) -> bool:
         """Returns whether the rest of an answered request still arrives."""
         if self._discarded is not None and self._discarded.is_eof():
@@ -689,6 +693,68 @@
             ) from error
 
 
+class _StatusConnection(RequestHandler):
+    """Connection of a status listener, of which there are few.
+
+    Args:
+      connections: Open connections of the listener.
+      arguments: Arguments of the base class.
+    """
+
+    def __init__(
+        self,
+        connections: CallerConnections[_StatusConnection],
+        *arguments: Any,
+        **named: Any,
+    ) -> None:
+        super().__init__(*arguments, **named)
+        self._connections = connections
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts a connection, and closes one if there are too many."""
+        super().connection_made(transport)
+        excess = self._connections.open(self, self._loop.time())
+        if excess is not None and excess.transport is not None:
+            excess.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Processes bytes of a request."""
+        self._connections.on_progress(self)
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Removes the connection."""
+        self._connections.close(self)
+        super().connection_lost(exc)
+
+
+class _StatusServer(Server):
+    """Server that closes the connection that was idle for longest.
+
+    Args:
+      handler: Handles a request.
+      max_connections: Number of connections.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[BaseRequest], Awaitable[StreamResponse]],
+        max_connections: int,
+    ) -> None:
+        super().__init__(handler)
+        self._limited: CallerConnections[_StatusConnection] = CallerConnections(
+            max_connections
+        )
+
+    def __call__(self) -> _StatusConnection:
+        return _StatusConnection(
+            self._limited,
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+        )
+
+
 class StatusListener:
     """Serves short texts on a fixed set of paths.
 
@@ -696,6 +762,7 @@
       address: Address to listen on.
       paths: Functions that return status and body, by path.
       streams: Functions that serve long-lived requests, by path.
+      max_connections: Number of connections; None for no limit, between nodes.
     """
 
     def __init__(
@@ -703,7 +770,9 @@
         address: Address,
         paths: Mapping[str, Callable[[], tuple[int, bytes]]],
         streams: Mapping[str, StreamHandler] | None = None,
+        max_connections: int | None = MAX_STATUS_CONNECTIONS,
     ) -> None:
+        self._max_connections = max_connections
         self._address = address
         self._paths = paths
         self._streams = streams or {}
@@ -712,7 +781,10 @@
 
     async def start(self) -> None:
         """Starts listening."""
-        self._server = Server(self._serve, access_log=None)
+        if self._max_connections is None:
+            self._server = Server(self._serve, access_log=None)
+        else:
+            self._server = _StatusServer(self._serve, self._max_connections)
         self._sockets = await asyncio.get_running_loop().create_server(
             self._server, self._address.host, self._address.port
         )
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -266,6 +266,7 @@
                 for name, watch in self._watches.items()
             },
             {CHANGES_PATH: self._relay_server.serve},
+            max_connections=None,
         )
         orders = MoveOrders(
             self._watches["moves"].objects, move_kind.encode_status
