Forward header values byte for byte

Callers with a header value beyond ASCII saw their endpoint get another one. The gateway decoded values as Latin-1, and aiohttp encoded them as UTF-8, so that each byte above 127 became two, in both directions: requests for the model `modèle-7b` ran as another model. An organisation whose key has such a letter was refused with 401, and a stream was resumed after another event than the last one. The chat interface decodes values as UTF-8 with lone surrogates for other bytes, which aiohttp leaves out: these were missing from `Content-Type`.

Header text is UTF-8 with lone surrogates for other bytes everywhere, as both HTTP libraries decode it. The endpoint clients and the caller listener use a writer that encodes it in the same way. Their hooks are a request class and a request factory. Where text goes on to other nodes, surrogates are escaped.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/events.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/events.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from guavalane_core.forwarding.header_text import decode_header
+
 # A blank line ends an event; lines end with LF, CR LF or CR.
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
@@ -75,4 +77,4 @@
 
 def _find_id(event: bytes) -> str | None:
     match = _ID_LINE.search(event)
-    return match.group(1).decode("latin-1") if match else None
+    return decode_header(match.group(1)) if match else None
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -28,6 +28,7 @@
 from guavalane_entry.callers.admission import EndpointLimits
 from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_connection import BoundedConnector
+from guavalane_entry.http_heads import HeadRequest
 from guavalane_entry.http_session import make_session
 from guavalane_entry.large_bodies import payload_of
 
@@ -516,7 +517,9 @@
             # an idle one while the call is sent, its outcome would be unknown.
             connector = BoundedConnector(limit=0, force_close=once)
             session = make_session(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+                connector=connector,
+                request_class=HeadRequest,
+                cookie_jar=aiohttp.DummyCookieJar(),
             )
             self._sessions[once] = session
         return session
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -4,7 +4,12 @@
 
 from collections.abc import Iterable
 
-from guavalane_core.forwarding import CallerRequest, Prompt, PromptPart
+from guavalane_core.forwarding import (
+    CallerRequest,
+    Prompt,
+    PromptPart,
+    printable_header,
+)
 from guavalane_entry.gateway.errors import MalformedRequestError
 from guavalane_entry.gateway.names import CONNECTION_HEADERS, HeaderNames
 
@@ -117,10 +122,12 @@
             input_tokens, output_tokens = map(_read_tokens, counts.split(","))
             hint = values.get(names.output_hint.lower())
             return Prompt(
-                model=values.get(names.model.lower(), ""),
+                model=printable_header(values.get(names.model.lower(), "")),
                 input_tokens=input_tokens,
                 max_output_tokens=output_tokens,
-                parts=read_parts(values.get(names.prompt_parts.lower(), "")),
+                parts=read_parts(
+                    printable_header(values.get(names.prompt_parts.lower(), ""))
+                ),
                 likely_output_tokens=None
                 if hint is None
                 else _read_tokens(hint),
@@ -155,7 +162,7 @@
             continue
         if key in values:
             raise MalformedRequestError(f"header {name} is doubled")
-        values[key] = value.strip()
+        values[key] = value.strip(" \t")
     return values
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -11,7 +11,7 @@
 import attrs
 from yarl import URL
 
-from guavalane_core.forwarding import Endpoint
+from guavalane_core.forwarding import Endpoint, decode_header
 from guavalane_core.limits.body_memory import HeldBody
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import LoopTimers
@@ -27,6 +27,7 @@
     current_protocol,
     expected_identity,
 )
+from guavalane_entry.http_heads import HeadRequest
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 from guavalane_entry.large_bodies import payload_of
 
@@ -251,7 +252,7 @@
             yield EndpointResponse(
                 response.status,
                 tuple(
-                    (name.decode("latin-1"), value.decode("latin-1"))
+                    (decode_header(name), decode_header(value))
                     for name, value in response.raw_headers
                 ),
                 response,
@@ -293,6 +294,7 @@
     )
     return make_session(
         connector=connector,
+        request_class=HeadRequest,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -16,7 +16,11 @@
 from aiohttp.web_server import Server
 from loguru import logger as log
 
-from guavalane_core.forwarding import CallerLimits, CallerRequest
+from guavalane_core.forwarding import (
+    CallerLimits,
+    CallerRequest,
+    decode_header,
+)
 from guavalane_core.limits.body_memory import (
     ORDINARY_BODY_BYTES,
     Eviction,
@@ -43,6 +47,7 @@
 from guavalane_entry.gateway.problems import problem_of
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.stop_deadline import StopDeadline
+from guavalane_entry.http_heads import make_received_request
 from guavalane_entry.large_bodies import slices_of
 
 # Length of the accept queue; all callers may connect at the same time after a
@@ -400,7 +405,11 @@
         lingering: _ConnectionSet,
         bounds: CallerBounds,
     ) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            handler,
+            request_factory=make_received_request,
+            handler_cancellation=True,
+        )
         self._lingering = lingering
         self._bounds = bounds
         self._limits = limits
@@ -598,7 +607,7 @@
         if size + len(request.raw_path) > limits.header_bytes:
             raise HeaderTooLargeError("the header is too large")
         headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
+            (decode_header(name), decode_header(value))
             for name, value in raw_headers
         ]
         body = await self._read_body(request, held, limits)
--- a/packages/guavalane-standins/src/guavalane_standins/scripted_endpoint.py
+++ b/packages/guavalane-standins/src/guavalane_standins/scripted_endpoint.py
@@ -23,12 +23,24 @@
       headers: Header fields in order, with names as sent.
       body: Request body.
       connection: Index of the connection, from 0.
+      head: Bytes of the request line and the headers.
     """
 
     line: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
     connection: int
+    head: bytes
+
+    @property
+    def target(self) -> bytes:
+        """Request target as received."""
+        return self.head.split(b"\r\n", 1)[0].split(b" ")[1]
+
+    @property
+    def fields(self) -> list[tuple[bytes, bytes]]:
+        """Header fields in order, with names in lower case."""
+        return split_fields(self.head)
 
     def header(self, name: str) -> str | None:
         """Returns the value of a header field; None if it is missing."""
@@ -176,4 +188,17 @@
         if name.lower() == "content-length":
             length = int(value)
     body = await reader.readexactly(length)
-    return ReceivedRequest(line, headers, body, connection)
+    return ReceivedRequest(line, headers, body, connection, head)
+
+
+def split_fields(head: bytes) -> list[tuple[bytes, bytes]]:
+    """Returns the header fields of a message, with names in lower case.
+
+    Args:
+      head: Bytes of the start line and the headers.
+    """
+    fields = []
+    for line in head.removesuffix(b"\r\n\r\n").split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        fields.append((name.lower(), value.strip(b" \t")))
+    return fields
