Forward request targets byte for byte

Endpoints got another target than the caller had sent: an empty query (`/p?`) and all from a number sign on were dropped, and the chat interface also rewrote percent-encodings (`%2f` became `%2F`, `%7e` became `~`). Both clients put the target into a URL and sent the path and query that the URL made of it.

A request takes its target from the context of its task, as the connector takes the identity of the response, and the URL names the endpoint only. The chat interface passes on the target as received; that of an absolute form begins with its path. A target that contains a space, a control character or a byte beyond ASCII is refused when it is sent as well, so nothing depends on the parsers.

Targets with illegal bytes are rejected as before: with 400, or, by the chat interface if the byte is a control character, with a close.

--- a/packages/guavalane-entry/src/guavalane_entry/callers/server.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import secrets
 from collections.abc import AsyncIterator, Coroutine, Sequence
 from typing import Any, TypeVar
@@ -53,10 +54,21 @@
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 REQUEST_ID = "X-Request-Id"
 MAX_KEY_LENGTH = 255
+_AUTHORITY = re.compile(r"^[a-z][a-z0-9+.-]*://[^/?#]*", re.IGNORECASE)
 
 T = TypeVar("T")
 
 
+def _origin_form(request: Request) -> str:
+    """Returns the path and query of a request as received."""
+    target = request.raw_url.decode("ascii")
+    if target.startswith("/"):
+        return target
+    # The absolute form, in which the path may be empty.
+    path = _AUTHORITY.sub("", target, count=1)
+    return path if path.startswith("/") else f"/{path}"
+
+
 class CallerServer:
     """Accepts requests of callers and writes the answers.
 
@@ -230,7 +242,6 @@
                 "this route needs an Idempotency-Key header", not_run=True
             )
         timeout_s = self._timeout_ms(request, route) / 1000
-        query = f"?{request.query_string}" if request.query_string else ""
         return RequestContext(
             request_id=f"{self._settings.name}-{secrets.token_hex(8)}",
             organisation=organisation,
@@ -238,7 +249,7 @@
             route=route,
             deadline_s=self._timers.now() + timeout_s,
             method=request.method,
-            path=request.path + query,
+            path=_origin_form(request),
             content_type=request.content_type or "application/octet-stream",
             body=request.body,
             idempotency_key=key,
--- a/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/endpoints/client.py
@@ -10,6 +10,7 @@
 import aiohttp
 import attrs
 from loguru import logger as log
+from yarl import URL
 
 from guavalane_core.exceptions import (
     AttemptError,
@@ -28,7 +29,7 @@
 from guavalane_entry.callers.admission import EndpointLimits
 from guavalane_entry.endpoints.pool import EndpointPool
 from guavalane_entry.http_connection import BoundedConnector
-from guavalane_entry.http_heads import HeadRequest
+from guavalane_entry.http_heads import HeadRequest, exact_target
 from guavalane_entry.http_session import make_session
 from guavalane_entry.large_bodies import payload_of
 
@@ -362,7 +363,11 @@
         timeout = aiohttp.ClientTimeout(
             total=remaining, sock_connect=CONNECT_TIMEOUT_S
         )
-        url = view.endpoint.url.rstrip("/") + path
+        try:
+            url = URL(view.endpoint.url)
+        except ValueError as error:
+            raise AttemptError(f"{view.name}: {error}", sent=False) from None
+        target = url.raw_path.rstrip("/") + path
         started = self._timers.now()
         request.attempts += 1
         number = request.attempts
@@ -372,16 +377,18 @@
         try:
             async with contextlib.AsyncExitStack() as stack:
                 async with asyncio.timeout(headers_timeout_s):
-                    answer = await stack.enter_async_context(
-                        self._session(request).request(
-                            method,
-                            url,
-                            headers=headers,
-                            timeout=timeout,
-                            allow_redirects=False,
-                            **kwargs,
+                    # The response is used in a context of other requests.
+                    with exact_target(target):
+                        answer = await stack.enter_async_context(
+                            self._session(request).request(
+                                method,
+                                url,
+                                headers=headers,
+                                timeout=timeout,
+                                allow_redirects=False,
+                                **kwargs,
+                            )
                         )
-                    )
                 self._check_status(view, answer)
                 yield answer
         except aiohttp.ClientConnectorError as error:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -27,7 +27,7 @@
     current_protocol,
     expected_identity,
 )
-from guavalane_entry.http_heads import HeadRequest
+from guavalane_entry.http_heads import HeadRequest, exact_target
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 from guavalane_entry.large_bodies import payload_of
 
@@ -227,16 +227,17 @@
             address = Address.parse(endpoint.address)
         except ValueError as error:
             raise NotSentError(repr(error)) from error
-        url = URL(f"http://{address}{target}", encoded=True)
+        url = URL(f"http://{address}", encoded=True)
         token = expected_identity.set(identity)
         try:
-            response = await session.request(
-                method,
-                url,
-                headers=headers,
-                data=payload_of(body) or None,
-                allow_redirects=False,
-            )
+            with exact_target(target):
+                response = await session.request(
+                    method,
+                    url,
+                    headers=headers,
+                    data=payload_of(body) or None,
+                    allow_redirects=False,
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/packages/guavalane-entry/src/guavalane_entry/http_heads.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_heads.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import contextvars
 import re
+from collections.abc import Iterator
 from typing import Any
 
 import aiohttp
@@ -13,9 +16,33 @@
 
 from guavalane_core.forwarding import encode_header
 
+# Characters of a target that HTTP libraries accept. A space would end it.
+_TARGET = re.compile(r"[!-~]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
+# Target of the request that the current task makes; None for that of its URL.
+_exact_target: contextvars.ContextVar[str | None] = contextvars.ContextVar(
+    "exact_target", default=None
+)
+
+
+@contextlib.contextmanager
+def exact_target(target: str) -> Iterator[None]:
+    """Makes a `HeadRequest` that is sent in this context use a target.
+
+    A URL does not keep each target: it has no empty query, for instance.
+
+    Args:
+      target: Path and query.
+    """
+    token = _exact_target.set(target)
+    try:
+        yield
+    finally:
+        _exact_target.reset(token)
+
+
 class HeadWriter(StreamWriter):
     """Writer of messages whose header values may be any bytes.
 
@@ -55,7 +82,7 @@
 
 
 class HeadRequest(aiohttp.ClientRequest):
-    """Request that is sent by a `HeadWriter`.
+    """Request that is sent by a `HeadWriter`, with any target.
 
     It supports neither proxies nor compression.
     """
@@ -64,7 +91,13 @@
         """Sends the request on a connection.
 
         The base class creates its writer itself.
+
+        Raises:
+          ValueError: The target or a header contains an illegal character.
         """
+        target = _exact_target.get() or self.url.raw_path_qs
+        if not _TARGET.fullmatch(target):
+            raise ValueError(f"{target!r} is no target of a request")
         protocol = conn.protocol
         writer = HeadWriter(protocol, self.loop)
         if self.chunked is not None:
@@ -72,7 +105,7 @@
         if conn._connector.force_close and hdrs.CONNECTION not in self.headers:
             self.headers[hdrs.CONNECTION] = "close"
         await writer.write_headers(
-            f"{self.method} {self.url.raw_path_qs} HTTP/1.1", self.headers
+            f"{self.method} {target} HTTP/1.1", self.headers
         )
         task = None
         if self._body or self._continue is not None or protocol.writing_paused:
--- a/packages/guavalane-entry/tests/gateway/test_forwarded_bytes.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarded_bytes.py
@@ -22,6 +22,7 @@
     lower_names,
     make_fields,
     make_request,
+    make_targets,
     make_word,
     status_of,
 )
@@ -165,6 +166,20 @@
                 )
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+class TestTargets:
+    """Guards against paths and queries that a URL library rewrites."""
+
+    async def test_targets_reach_the_endpoint(self, seed):
+        rng = random.Random(seed)
+        async with run() as (rig, caller):
+            endpoint = await rig.add_endpoint(answer)
+            for target in make_targets(rng, b"/a/", MESSAGES):
+                request = make_request(HOST, target, [], rng)
+                assert status_of(await caller.call(request)) == 200, target
+                assert endpoint.requests[-1].target == target
+
+
 class TestNamesOfNode:
     """Guards against names of a deployment that are changed on the way."""
 
@@ -240,6 +255,15 @@
             assert status_of(await caller.call(request)) == 400
             assert endpoint.requests == []
 
+    @pytest.mark.parametrize("illegal", CONTROLS + b" \t\x80\xa0\xc3\xff")
+    async def test_a_target_with_an_illegal_byte_is_rejected(self, illegal):
+        target = b"/a/x" + bytes([illegal]) + b"y?z"
+        async with run() as (rig, caller):
+            endpoint = await rig.add_endpoint(answer)
+            request = make_request(HOST, target, [], random.Random(1))
+            assert status_of(await caller.call(request)) == 400
+            assert endpoint.requests == []
+
     # A line of a response may end with a single LF.
     @pytest.mark.parametrize("control", CONTROLS.replace(b"\n", b""))
     async def test_a_control_character_of_an_endpoint_is_not_sent(
--- a/packages/guavalane-entry/tests/test_forwarded_calls.py
+++ b/packages/guavalane-entry/tests/test_forwarded_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import itertools
 import random
@@ -24,8 +25,10 @@
 from guavalane_entry.requests.executions import Executions
 from guavalane_standins.processes import free_port
 from guavalane_standins.raw_caller import (
+    CONTROLS,
     connect,
     make_request,
+    make_targets,
     make_word,
     status_of,
 )
@@ -158,3 +161,52 @@
                 request = make_request("a", b"/x", [KEY_FIELD], rng)
                 received = split_fields(await caller.call(request))
                 assert sent.items() <= dict(received).items()
+
+
+class TestTargets:
+    """Guards against paths and queries that a URL library rewrites."""
+
+    @pytest.mark.parametrize("base_path", ["", "/", "/base", "/base/"])
+    @pytest.mark.parametrize("seed", SEEDS)
+    async def test_targets_reach_the_endpoint(self, seed, base_path):
+        rng = random.Random(seed)
+        base = base_path.rstrip("/").encode()
+        async with run(answer, base_path) as (endpoint, caller):
+            for target in make_targets(rng, b"/x/", MESSAGES):
+                request = make_request("a", target, [KEY_FIELD], rng)
+                assert status_of(await caller.call(request)) == 200, target
+                assert endpoint.requests[-1].target == base + target
+
+    @pytest.mark.parametrize("target", [b"/x?", b"/%2f?a=%7e", b"/"])
+    async def test_the_absolute_form_is_reduced(self, target):
+        rng = random.Random(1)
+        async with run(answer) as (endpoint, caller):
+            absolute = b"http://a:80" + target
+            request = make_request("a", absolute, [KEY_FIELD], rng)
+            assert status_of(await caller.call(request)) == 200
+            assert endpoint.requests[-1].target == target
+
+
+class TestIllegalBytes:
+    """Guards against bytes that end a line or a message for others."""
+
+    @pytest.mark.parametrize("illegal", CONTROLS + b" \t\x80\xa0\xc3\xff")
+    async def test_a_target_with_an_illegal_byte_is_rejected(self, illegal):
+        target = b"/x" + bytes([illegal]) + b"y?z"
+        async with run(answer) as (endpoint, caller):
+            rng = random.Random(1)
+            request = make_request("a", target, [KEY_FIELD], rng)
+            # sanic closes the connection of some, others get 400.
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                assert status_of(await caller.call(request)) == 400
+            assert endpoint.requests == []
+
+    @pytest.mark.parametrize("control", CONTROLS)
+    async def test_a_control_character_in_a_value_is_not_sent(self, control):
+        value = b"a/\xe9" + bytes([control]) + b"X-Smuggled: 1"
+        fields = [KEY_FIELD, (b"Content-Type", value)]
+        async with run(answer) as (endpoint, caller):
+            request = make_request("a", b"/x", fields, random.Random(1))
+            await caller.call(request)
+            heads = b"".join(request.head for request in endpoint.requests)
+            assert b"X-Smuggled" not in heads
--- a/packages/guavalane-standins/src/guavalane_standins/raw_caller.py
+++ b/packages/guavalane-standins/src/guavalane_standins/raw_caller.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import string
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 
 from guavalane_standins.scripted_endpoint import split_fields
 
@@ -25,6 +25,35 @@
 VISIBLE = bytes([*range(0x21, 0x7F), *range(0x80, 0x100)])
 SPACES = b" \t"
 CONTROLS = bytes([*range(0x09), *range(0x0A, 0x20), 0x7F])
+# Characters of a path and of a query by RFC 9112, section 3.2, without the
+# percent sign.
+PATH_CHARACTERS = (
+    string.ascii_letters + string.digits + "-._~" + "!$&'()*+,;=" + ":@" + "/"
+)
+QUERY_CHARACTERS = PATH_CHARACTERS + "?"
+# Further ones that the HTTP libraries accept. A number sign belongs to neither.
+LENIENT_CHARACTERS = '"<>[]\\^`{|}%#'
+MAX_TARGET_PIECES = 12
+# Targets that URL libraries are known to change.
+KNOWN_TARGETS = (
+    b"",
+    b"?",
+    b"??",
+    b"?a=1&",
+    b"?#",
+    b"#",
+    b"?a#b",
+    b"/",
+    b"//",
+    b"//b//c?/",
+    b"b/../c/./d/..",
+    b"%2f%2F%c3%A8%C3%a8%41%7e",
+    b"b;c=1;d?e;f=%3b",
+    b"b c".replace(b" ", b"%20") + b"?d+e=%20",
+    b":80@b",
+    b"%?%zz",
+    b"http://b/c",
+)
 TOKEN_CHARACTERS = string.ascii_letters + string.digits + "!#$%&'*+-.^_`|~"
 
 
@@ -62,6 +91,31 @@
     return [(name.encode(), make_value(rng)) for name in names]
 
 
+def make_target(rng: random.Random, prefix: bytes) -> bytes:
+    """Returns a random target that begins with a prefix."""
+    path = _join_pieces(rng, PATH_CHARACTERS)
+    query = rng.choice(["", "?", "?" + _join_pieces(rng, QUERY_CHARACTERS)])
+    return prefix + (path + query).encode()
+
+
+def make_targets(
+    rng: random.Random, prefix: bytes, count: int
+) -> Iterator[bytes]:
+    """Yields the known targets and random ones, which begin with a prefix."""
+    for target in KNOWN_TARGETS:
+        yield prefix + target
+    for _ in range(count):
+        yield make_target(rng, prefix)
+        yield make_target(rng, prefix) + rng.choice(LENIENT_CHARACTERS).encode()
+
+
+def _join_pieces(rng: random.Random, characters: str) -> str:
+    pieces = [*characters]
+    for digits in ("%02x", "%02X"):
+        pieces += ["%" + digits % rng.randrange(256) for _ in range(10)]
+    return "".join(rng.choices(pieces, k=rng.randrange(MAX_TARGET_PIECES)))
+
+
 def lower_names(fields: Sequence[Field]) -> list[Field]:
     """Returns fields with their names in lower case."""
     return [(name.lower(), value) for name, value in fields]
