Forward headers whose names differ in letter case

Where a caller sent a header several times with its name in different letter case, the endpoint got only those from the last change of the spelling on: of `X-A: 1`, `x-a: 2` and `X-A: 3` the first was lost. aiohttp merges the headers of a request with those of the session, and takes a name in another spelling for a new header that replaces the one before.

The endpoint client gives equal names the spelling of the first. Names are case-insensitive; values, number and order of the headers remain.

With such names, the five random tests of values failed before.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -234,7 +234,7 @@
                 response = await session.request(
                     method,
                     url,
-                    headers=headers,
+                    headers=_unify_spelling(headers),
                     data=payload_of(body) or None,
                     allow_redirects=False,
                 )
@@ -272,6 +272,19 @@
             response.close()
 
 
+def _unify_spelling(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Returns headers whose equal names are spelled as in the first of them.
+
+    aiohttp drops all earlier headers with a name that comes again in another
+    letter case.
+    """
+    spellings: dict[str, str] = {}
+    return [
+        (spellings.setdefault(name.lower(), name), value)
+        for name, value in headers
+    ]
+
+
 async def _open_and_close(endpoint: Endpoint) -> None:
     """Opens a connection to an endpoint and closes it.
 
--- a/packages/guavalane-standins/src/guavalane_standins/raw_caller.py
+++ b/packages/guavalane-standins/src/guavalane_standins/raw_caller.py
@@ -80,12 +80,17 @@
 ) -> list[Field]:
     """Returns random fields in random order.
 
+    Names that occur repeatedly differ in the case of their letters.
+
     Args:
       rng: Source of randomness.
       known_names: Names of which some fields have one.
     """
     names = [make_name(rng) for _ in range(RANDOM_FIELDS)]
-    names += rng.choices(names, k=REPEATED_FIELDS)
+    names += [
+        rng.choice([name.upper(), name.lower(), name])
+        for name in rng.choices(names, k=REPEATED_FIELDS)
+    ]
     names += rng.sample(known_names, k=min(KNOWN_FIELDS, len(known_names)))
     rng.shuffle(names)
     return [(name.encode(), make_value(rng)) for name in names]
