Forward the Host header byte for byte

Endpoints got the host of a request in lower case and without its port, since the gateway sent the name by which it had selected the route. `Host` was listed among the headers of one connection, which it is not, and the protocol does not name it among those that the system sets.

It is forwarded like other headers, also if `Connection` names it: the HTTP client would put the address of the endpoint in its place.

--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -56,7 +56,10 @@
         values = _read_single_headers(headers, names)
         if not target.startswith("/"):
             raise MalformedRequestError("the target is not a path")
-        dropped = self._not_forwarded | _connection_options(headers)
+        # A request has a host, whatever its sender says of the connection.
+        dropped = self._not_forwarded | (
+            _connection_options(headers) - {"host"}
+        )
         return CallerRequest(
             request_id=values.get(names.request_id.lower(), ""),
             method=method,
@@ -89,8 +92,7 @@
     ) -> list[tuple[str, str]]:
         """Returns the request headers for one attempt at an endpoint."""
         names = self._names
-        headers = [("Host", request.host), *request.headers]
-        headers.append((names.expected_endpoint, endpoint_id))
+        headers = [*request.headers, (names.expected_endpoint, endpoint_id)]
         left_ms = max(1, int(time_left_s * 1000))
         headers.append((names.time_left_ms, str(left_ms)))
         if organisation is not None:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/names.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/names.py
@@ -10,7 +10,6 @@
         "connection",
         "content-length",
         "expect",
-        "host",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
--- a/packages/guavalane-entry/tests/gateway/test_forwarded_bytes.py
+++ b/packages/guavalane-entry/tests/gateway/test_forwarded_bytes.py
@@ -62,7 +62,6 @@
     name.lower().encode()
     for name in (
         "Content-Length",
-        "Host",
         NAMES.expected_endpoint,
         NAMES.time_left_ms,
         NAMES.urgency,
@@ -76,6 +75,8 @@
     b"server",
 }
 TARGET = b"/a/x"
+# Spellings of the host of the route.
+HOSTS = (HOST, HOST.title(), f"{HOST}:80", f"{HOST.upper()}:8080")
 ROUTE = make_route(delivery=Delivery.IDEMPOTENT, max_endpoints=2)
 # Endpoints with an engine are chosen by the parts of the prompt.
 CONFIGURATION = make_configuration(
@@ -132,13 +133,28 @@
                     (NAMES.resume_after.encode(), make_word(rng)),
                     *make_fields(rng, REQUEST_NAMES),
                 ]
-                request = make_request(HOST, TARGET, fields, rng)
+                host = rng.choice(HOSTS)
+                request = make_request(host, TARGET, fields, rng)
+                fields.append((b"Host", host.encode()))
                 assert status_of(await caller.call(request)) == 200
                 received = endpoint.requests[-1].fields
                 assert by_name(received, REQUEST_FIELDS_OF_NODE) == by_name(
                     fields
                 )
 
+    async def test_the_host_of_the_caller_always_reaches_the_endpoint(
+        self, seed
+    ):
+        """The client would put the address of the endpoint in its place."""
+        rng = random.Random(seed)
+        async with run() as (rig, caller):
+            endpoint = await rig.add_endpoint(answer)
+            fields = [(b"Connection", b"keep-alive, host")]
+            request = make_request(HOSTS[-1], TARGET, fields, rng)
+            assert status_of(await caller.call(request)) == 200
+            (request,) = endpoint.requests
+        assert request.header("Host") == HOSTS[-1]
+
     async def test_values_of_endpoints_reach_the_caller(self, seed):
         rng = random.Random(seed)
         sent = []
