Take the digests of keys over their bytes

The chat interface answered 500, with a stack trace in the log, to a key that is not valid UTF-8, as the lone surrogates for its bytes could not be encoded. Such a key could not be used either.

The digest is taken over the bytes of the header, so a known key is accepted and an unknown one refused with 401. Digests of all other keys are the same. The conversion of header text moves out of the forwarding package, since the lookup of keys belongs to both interfaces.

Three tests with keys of any bytes failed before.

--- a/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/__init__.py
@@ -22,11 +22,6 @@
 from guavalane_core.forwarding.durations import RouteDurations
 from guavalane_core.forwarding.endpoint import Endpoint
 from guavalane_core.forwarding.events import EventSplitter, StreamEvent
-from guavalane_core.forwarding.header_text import (
-    decode_header,
-    encode_header,
-    printable_header,
-)
 from guavalane_core.forwarding.request import (
     CallerRequest,
     Prompt,
@@ -61,7 +56,4 @@
     "StreamEvent",
     "VersionMove",
     "decide_next",
-    "decode_header",
-    "encode_header",
-    "printable_header",
 ]
--- a/packages/guavalane-core/src/guavalane_core/forwarding/events.py
+++ b/packages/guavalane-core/src/guavalane_core/forwarding/events.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from guavalane_core.forwarding.header_text import decode_header
+from guavalane_core.header_text import decode_header
 
 # A blank line ends an event; lines end with LF, CR LF or CR.
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
--- a/packages/guavalane-core/src/guavalane_core/requests/table.py
+++ b/packages/guavalane-core/src/guavalane_core/requests/table.py
@@ -10,11 +10,16 @@
     UnauthorizedError,
     UnknownRouteError,
 )
+from guavalane_core.header_text import encode_header
 
 
 def digest_key(key: str) -> str:
-    """Returns the digest of a caller's key as listed in a configuration."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    """Returns the digest of a caller's key as listed in a configuration.
+
+    Args:
+      key: Key as read from a header, of any bytes.
+    """
+    return hashlib.sha256(encode_header(key)).hexdigest()
 
 
 class RouteTable:
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -4,12 +4,8 @@
 
 from collections.abc import Iterable
 
-from guavalane_core.forwarding import (
-    CallerRequest,
-    Prompt,
-    PromptPart,
-    printable_header,
-)
+from guavalane_core.forwarding import CallerRequest, Prompt, PromptPart
+from guavalane_core.header_text import printable_header
 from guavalane_entry.gateway.errors import MalformedRequestError
 from guavalane_entry.gateway.names import CONNECTION_HEADERS, HeaderNames
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -11,7 +11,8 @@
 import attrs
 from yarl import URL
 
-from guavalane_core.forwarding import Endpoint, decode_header
+from guavalane_core.forwarding import Endpoint
+from guavalane_core.header_text import decode_header
 from guavalane_core.limits.body_memory import HeldBody
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import LoopTimers
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -16,11 +16,8 @@
 from aiohttp.web_server import Server
 from loguru import logger as log
 
-from guavalane_core.forwarding import (
-    CallerLimits,
-    CallerRequest,
-    decode_header,
-)
+from guavalane_core.forwarding import CallerLimits, CallerRequest
+from guavalane_core.header_text import decode_header
 from guavalane_core.limits.body_memory import (
     ORDINARY_BODY_BYTES,
     Eviction,
--- a/packages/guavalane-entry/src/guavalane_entry/http_heads.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_heads.py
@@ -14,7 +14,7 @@
 from aiohttp.http import StreamWriter
 from aiohttp.web_request import BaseRequest
 
-from guavalane_core.forwarding import encode_header
+from guavalane_core.header_text import encode_header
 
 # Characters of a target that HTTP libraries accept. A space would end it.
 _TARGET = re.compile(r"[!-~]+")
--- a/packages/guavalane-entry/tests/test_forwarded_calls.py
+++ b/packages/guavalane-entry/tests/test_forwarded_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import itertools
 import random
 from unittest import mock
@@ -38,6 +39,8 @@
 # Messages per seed.
 MESSAGES = 30
 KEY = "key-1"
+# Not valid UTF-8.
+BINARY_KEY = b"k\xff\xc3"
 KEY_FIELD = (b"Authorization", b"Bearer key-1")
 _numbers = itertools.count()
 
@@ -47,7 +50,14 @@
     deployment = {"deployment": "d"}
     return parse_configuration(
         {
-            "organisations": {"o": {"key_sha256": [digest_key(KEY)]}},
+            "organisations": {
+                "o": {
+                    "key_sha256": [
+                        digest_key(KEY),
+                        hashlib.sha256(BINARY_KEY).hexdigest(),
+                    ]
+                }
+            },
             "deployments": {"d": {"versions": {"v1": {}}}},
             "routes": {
                 "r": {
@@ -163,6 +173,19 @@
                 assert sent.items() <= dict(received).items()
 
 
+class TestKeys:
+    """Guards against keys that a text encoding makes an internal error."""
+
+    @pytest.mark.parametrize(
+        ("key", "status"), [(BINARY_KEY, 200), (b"k\xff", 401), (b"\xc3", 401)]
+    )
+    async def test_a_key_may_have_any_bytes(self, key, status):
+        async with run(answer) as (_, caller):
+            fields = [(b"Authorization", b"Bearer " + key)]
+            request = make_request("a", b"/x", fields, random.Random(1))
+            assert status_of(await caller.call(request)) == status
+
+
 class TestTargets:
     """Guards against paths and queries that a URL library rewrites."""
 
