--- a/packages/guavalane-entry/src/guavalane_entry/http_heads.py
+++ b/packages/guavalane-entry/src/guavalane_entry/http_heads.py
@@ -75,10 +75,10 @@
     It is a request factory of `aiohttp.web_server.Server`, which describes the
     arguments.
     """
-    del writer
+    del writer  # One of aiohttp, which nothing was written to.
     loop = asyncio.get_running_loop()
-    writer = HeadWriter(protocol, loop)
-    return BaseRequest(message, payload, protocol, writer, task, loop)
+    head_writer = HeadWriter(protocol, loop)
+    return BaseRequest(message, payload, protocol, head_writer, task, loop)
 
 
 class HeadRequest(aiohttp.ClientRequest):
--- a/packages/guavalane-standins/src/guavalane_standins/raw_caller.py
+++ b/packages/guavalane-standins/src/guavalane_standins/raw_caller.py
@@ -31,7 +31,7 @@
     string.ascii_letters + string.digits + "-._~" + "!$&'()*+,;=" + ":@" + "/"
 )
 QUERY_CHARACTERS = PATH_CHARACTERS + "?"
-# Further ones that the HTTP libraries accept. A number sign belongs to neither.
+# Further characters that the HTTP libraries accept.
 LENIENT_CHARACTERS = '"<>[]\\^`{|}%#'
 MAX_TARGET_PIECES = 12
 # Targets that URL libraries are known to change.
@@ -49,7 +49,7 @@
     b"b/../c/./d/..",
     b"%2f%2F%c3%A8%C3%a8%41%7e",
     b"b;c=1;d?e;f=%3b",
-    b"b c".replace(b" ", b"%20") + b"?d+e=%20",
+    b"b%20c?d+e=%20",
     b":80@b",
     b"%?%zz",
     b"http://b/c",
