--- a/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/codec.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from guavalane_core.forwarding import CallerRequest, Prompt, PromptPart
+from guavalane_core.header_text import printable_header
 from guavalane_entry.gateway.errors import MalformedRequestError
 from guavalane_entry.gateway.names import CONNECTION_HEADERS, HeaderNames
 
@@ -51,7 +52,10 @@
         values = _read_single_headers(headers, names)
         if not target.startswith("/"):
             raise MalformedRequestError("the target is not a path")
-        dropped = self._not_forwarded | _connection_options(headers)
+        # A request has a host, whatever its sender says of the connection.
+        dropped = self._not_forwarded | (
+            _connection_options(headers) - {"host"}
+        )
         return CallerRequest(
             request_id=values.get(names.request_id.lower(), ""),
             method=method,
@@ -84,8 +88,7 @@
     ) -> list[tuple[str, str]]:
         """Returns the request headers for one attempt at an endpoint."""
         names = self._names
-        headers = [("Host", request.host), *request.headers]
-        headers.append((names.expected_endpoint, endpoint_id))
+        headers = [*request.headers, (names.expected_endpoint, endpoint_id)]
         left_ms = max(1, int(time_left_s * 1000))
         headers.append((names.time_left_ms, str(left_ms)))
         if organisation is not None:
@@ -117,10 +120,12 @@
             input_tokens, output_tokens = map(_read_tokens, counts.split(","))
             hint = values.get(names.output_hint.lower())
             return Prompt(
-                model=values.get(names.model.lower(), ""),
+                model=printable_header(values.get(names.model.lower(), "")),
                 input_tokens=input_tokens,
                 max_output_tokens=output_tokens,
-                parts=read_parts(values.get(names.prompt_parts.lower(), "")),
+                parts=read_parts(
+                    printable_header(values.get(names.prompt_parts.lower(), ""))
+                ),
                 likely_output_tokens=None
                 if hint is None
                 else _read_tokens(hint),
@@ -155,7 +160,7 @@
             continue
         if key in values:
             raise MalformedRequestError(f"header {name} is doubled")
-        values[key] = value.strip()
+        values[key] = value.strip(" \t")
     return values
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/endpoint_client.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from guavalane_core.forwarding import Endpoint
+from guavalane_core.header_text import decode_header
 from guavalane_core.limits.body_memory import HeldBody
 from guavalane_core.tasks import cancel_tasks
 from guavalane_core.timers import LoopTimers
@@ -28,6 +29,7 @@
     current_protocol,
     expected_identity,
 )
+from guavalane_entry.http_heads import HeadRequest, exact_target
 from guavalane_entry.http_session import make_keepalive_socket, make_session
 from guavalane_entry.large_bodies import payload_of
 from guavalane_entry.response_end import (
@@ -238,16 +240,17 @@
             address = Address.parse(endpoint.address)
         except ValueError as error:
             raise NotSentError(repr(error)) from error
-        url = URL(f"http://{address}{target}", encoded=True)
+        url = URL(f"http://{address}", encoded=True)
         token = expected_identity.set(identity)
         try:
-            response = await session.request(
-                method,
-                url,
-                headers=headers,
-                data=payload_of(body) or None,
-                allow_redirects=False,
-            )
+            with exact_target(target):
+                response = await session.request(
+                    method,
+                    url,
+                    headers=_unify_spelling(headers),
+                    data=payload_of(body) or None,
+                    allow_redirects=False,
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -263,7 +266,7 @@
             yield EndpointResponse(
                 response.status,
                 tuple(
-                    (name.decode("latin-1"), value.decode("latin-1"))
+                    (decode_header(name), decode_header(value))
                     for name, value in response.raw_headers
                 ),
                 response,
@@ -282,6 +285,19 @@
             response.close()
 
 
+def _unify_spelling(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Returns headers whose equal names are spelled as in the first of them.
+
+    aiohttp drops all earlier headers with a name that comes again in another
+    letter case.
+    """
+    spellings: dict[str, str] = {}
+    return [
+        (spellings.setdefault(name.lower(), name), value)
+        for name, value in headers
+    ]
+
+
 def _open_session(idle_s: float) -> aiohttp.ClientSession:
     connector = BoundedConnector(
         limit=0,
@@ -293,6 +309,7 @@
     )
     return make_session(
         connector=connector,
+        request_class=HeadRequest,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
