--- a/tests/platform/soak/test_repeats.py
+++ b/tests/platform/soak/test_repeats.py
@@ -7,6 +7,7 @@
 import pytest
 
 from soak.checks import REFUSALS
+from soak.events import encode_event, read_events
 from soak.history import Arrival, CallerRequest, History
 from soak.repeats import (
     MAX_EXCESSIVE_REQUESTS,
@@ -43,6 +44,25 @@
         self.history.requests.append(request)
         return request.request_id
 
+    def receive(self, data, *, last=3, is_whole=True, route="notice"):
+        """Adds a stream that a caller received and returns its identifier."""
+        events, rest = read_events(data)
+        request = CallerRequest(
+            f"q-{len(self.history.requests)}",
+            route,
+            "edge-1",
+            100.0,
+            1.5,
+            101.0,
+            200,
+            is_whole,
+            last_event=last,
+            events=events,
+            rest=rest,
+        )
+        self.history.requests.append(request)
+        return request.request_id
+
     def arrive(self, request_id, at_s=100.0, endpoint="i-1", **changes):
         """Adds an arrival that has run for 0.1 s."""
         values = {
@@ -263,3 +283,66 @@
     def test_a_response_that_is_no_success(self, play):
         play.arrive(play.send(1, status=502), was_reset=True)
         assert play.check("whole_responses") == []
+
+
+def encode_stream(*numbers, run="i-1/1"):
+    """Returns events of a run as they are sent."""
+    return b"".join(encode_event(number, run) for number in numbers)
+
+
+class TestStreamOrder:
+    """Guards against a check that overlooks a stream with events missing."""
+
+    @pytest.mark.parametrize("route", ["draft", "notice"])
+    @pytest.mark.parametrize("is_whole", [True, False])
+    def test_a_whole_stream(self, play, route, is_whole):
+        play.receive(encode_stream(1, 2, 3), route=route, is_whole=is_whole)
+        assert play.check("stream_order") == []
+
+    @pytest.mark.parametrize("route", ["draft", "notice"])
+    @pytest.mark.parametrize("numbers", [(), (1,), (1, 2)])
+    def test_a_stream_that_is_complete_too_early(self, play, route, numbers):
+        play.excused |= {"i-1", "edge-1"}
+        play.receive(encode_stream(*numbers), route=route)
+        assert play.check("stream_order")
+
+    @pytest.mark.parametrize("numbers", [(), (1,), (1, 2)])
+    def test_a_stream_that_breaks_may_lack_its_end(self, play, numbers):
+        play.receive(encode_stream(*numbers), is_whole=False)
+        play.receive(encode_stream(*numbers) + b"id: 3", is_whole=False)
+        assert play.check("stream_order") == []
+
+    @pytest.mark.parametrize("is_whole", [True, False])
+    @pytest.mark.parametrize(
+        "numbers", [(1, 3), (2, 3), (1, 1, 2, 3), (2, 1, 3), (1, 2, 3, 4)]
+    )
+    def test_events_that_are_missing_or_not_in_order(
+        self, play, numbers, is_whole
+    ):
+        play.receive(encode_stream(*numbers), is_whole=is_whole)
+        assert play.check("stream_order")
+
+    @pytest.mark.parametrize("rest", [b"id: 4", b"HTTP/1.1 200 OK\r\n"])
+    def test_bytes_after_the_last_event(self, play, rest):
+        play.receive(encode_stream(1, 2, 3) + rest)
+        assert play.check("stream_order")
+
+    def test_events_joined_in_the_middle(self, play):
+        data = encode_stream(1)[:-4] + encode_stream(2, 3, run="i-2/1")
+        play.receive(data, route="draft")
+        assert play.check("stream_order")
+
+    @pytest.mark.parametrize("is_whole", [True, False])
+    def test_runs_are_joined_only_if_a_stream_may_be_resumed(
+        self, play, is_whole
+    ):
+        data = encode_stream(1) + encode_stream(2, 3, run="i-2/1")
+        play.receive(data, route="draft", is_whole=is_whole)
+        assert play.check("stream_order") == []
+        play.receive(data, route="notice", is_whole=is_whole)
+        assert play.check("stream_order")
+
+    def test_other_statuses_and_other_requests_are_no_streams(self, play):
+        play.send(1, route="notice", status=502)
+        play.send(2, route="balance")
+        assert play.check("stream_order") == []
--- a/tests/platform/soak/test_sheet.py
+++ b/tests/platform/soak/test_sheet.py
@@ -6,9 +6,6 @@
 
 import pytest
 
-from soak.sheet import read_sheet
-from soak.sheet_run import play
-
 SITE = pathlib.Path(__file__).with_name("small-site.toml")
 # Disturbances that have broken a rule stay here, with a line on the cause.
 PLAYS = (
@@ -28,11 +25,5 @@
     """Guards against repeats beyond the operators' rules."""
 
     @pytest.mark.parametrize(("seed", "names"), PLAYS)
-    async def test_repeats_keep_the_rules(self, seed, names, tmp_path):
-        result = await play(read_sheet(SITE), seed, 8.0, names)
-        for name, text in result.logs.items():
-            (tmp_path / f"{name}.log").write_text(text)
-        seen = f"{result.statuses}, faults {result.faults}, see {tmp_path}"
-        assert result.broken == {}, seen
-        assert result.statuses[200] > 50
-        assert result.arrivals[1] > 0
+    async def test_repeats_keep_the_rules(self, seed, names, play_seed):
+        await play_seed(SITE, seed, names)
