Kill endpoints in plays of installations

Cause: endpoints of the plays are part of the process of the play, and their proxies reset connections. None ended as a killed process does: the kernel closes its listening socket and its connections in order, if nothing is unread.

--- a/tests/platform/soak/test_streams.py
+++ b/tests/platform/soak/test_streams.py
@@ -13,3 +13,9 @@
 
     async def test_streams_are_reset_beside_faults_of_nodes(self, play_seed):
         await play_seed(SITE, 6, RESETS)
+
+    async def test_endpoints_are_killed(self, play_seed):
+        # An endpoint that was killed at an end of an event closed its
+        # connections in order, which was taken for the end of its streams.
+        result = await play_seed(SITE, 1, ("endpoints_killed",))
+        assert result.cut_streams > 0
