Check in plays that whole streams arrive whole

Cause: a node that takes a stream for cut although its endpoint has sent all of it broke no check of the plays; it only counted as one of the broken responses.

Change: the check `whole_streams` finds streams that an endpoint sent to its end in order and that are not complete at their caller within its time. Disturbances of the endpoint or the node excuse it.

--- a/tests/platform/soak/test_repeats.py
+++ b/tests/platform/soak/test_repeats.py
@@ -44,7 +44,9 @@
         self.history.requests.append(request)
         return request.request_id
 
-    def receive(self, data, *, last=3, is_whole=True, route="notice"):
+    def receive(
+        self, data, *, last=3, is_whole=True, route="notice", ended_s=101.0
+    ):
         """Adds a stream that a caller received and returns its identifier."""
         events, rest = read_events(data)
         request = CallerRequest(
@@ -53,7 +55,7 @@
             "edge-1",
             100.0,
             1.5,
-            101.0,
+            ended_s,
             200,
             is_whole,
             last_event=last,
@@ -346,3 +348,34 @@
         play.send(1, route="notice", status=502)
         play.send(2, route="balance")
         assert play.check("stream_order") == []
+
+
+class TestWholeStreams:
+    """Guards against a check that overlooks a whole stream that was broken."""
+
+    def break_off(self, play, **changes):
+        """Adds a stream of three events that broke at its caller."""
+        request_id = play.receive(encode_stream(1, 2), is_whole=False)
+        play.arrive(request_id, **changes)
+
+    @pytest.mark.parametrize("party", ["i-1", "edge-1"])
+    def test_a_stream_that_was_sent_to_its_end(self, play, party):
+        self.break_off(play, was_sent=True)
+        assert play.check("whole_streams")
+        play.excused.add(party)
+        assert play.check("whole_streams") == []
+
+    def test_a_stream_that_its_endpoint_broke_off(self, play):
+        self.break_off(play)
+        assert play.check("whole_streams") == []
+
+    def test_a_stream_whose_caller_has_no_time_left(self, play):
+        request_id = play.receive(
+            encode_stream(1, 2), is_whole=False, ended_s=101.6
+        )
+        play.arrive(request_id, was_sent=True)
+        assert play.check("whole_streams") == []
+
+    def test_a_stream_that_arrived(self, play):
+        play.arrive(play.receive(encode_stream(1, 2, 3)), was_sent=True)
+        assert play.check("whole_streams") == []
