--- a/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/node.py
@@ -44,7 +44,7 @@
 from guavalane_entry.gateway.endpoint_limits import EndpointLimits
 from guavalane_entry.gateway.evacuations import EvacuationSink
 from guavalane_entry.gateway.forwarder import Forwarder
-from guavalane_entry.gateway.listener import CallerListener, StatusListener
+from guavalane_entry.gateway.listener import CallerListener
 from guavalane_entry.gateway.names import HeaderNames
 from guavalane_entry.gateway.quarantine import QuarantineService
 from guavalane_entry.gateway.quarantine_store import QUARANTINE_KIND
@@ -63,6 +63,7 @@
     MoveSink,
     PeerSink,
 )
+from guavalane_entry.gateway.status_listener import StatusListener
 from guavalane_entry.gateway.unreadable_objects import UnreadableObjects
 from guavalane_entry.gateway.view import NodeView
 from guavalane_entry.gateway.watch import KindWatch
--- a/packages/guavalane-entry/tests/gateway/test_refused_headers.py
+++ b/packages/guavalane-entry/tests/gateway/test_refused_headers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from guavalane_core.forwarding import CallerLimits, Delivery
-from guavalane_entry.gateway import listener
+from guavalane_entry.gateway import caller_connection
 from guavalane_standins.forwarding_samples import make_configuration, make_route
 from guavalane_standins.gateway_rig import (
     HOST,
@@ -65,7 +65,7 @@
     @pytest.fixture
     def paused_after_reading(self, monkeypatch):
         """Suspends the process once, after the bytes of a request are read."""
-        receive = listener._CallerConnection.data_received
+        receive = caller_connection.CallerConnection.data_received
         pauses = [HEADER_TIMEOUT_S + 0.5]
 
         def receive_and_pause(connection, data):
@@ -74,7 +74,9 @@
                 time.sleep(pauses.pop())
 
         monkeypatch.setattr(
-            listener._CallerConnection, "data_received", receive_and_pause
+            caller_connection.CallerConnection,
+            "data_received",
+            receive_and_pause,
         )
 
     async def test_a_request_read_before_a_pause_is_not_refused_and_run(
--- a/packages/guavalane-entry/tests/gateway/test_relays.py
+++ b/packages/guavalane-entry/tests/gateway/test_relays.py
@@ -24,8 +24,8 @@
 from guavalane_core.placement.work import Load
 from guavalane_core.timers import LoopTimers
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.listener import StatusListener
 from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.status_listener import StatusListener
 from guavalane_entry.gateway.work_reports import REPORT_VALIDITY_S, WorkReports
 from guavalane_entry.relays import link, server
 from guavalane_entry.relays.link import RelayLink
--- a/packages/guavalane-entry/tests/gateway/test_unframed_replies.py
+++ b/packages/guavalane-entry/tests/gateway/test_unframed_replies.py
@@ -9,8 +9,9 @@
 
 from guavalane_core.forwarding import CallerLimits
 from guavalane_core.timers import LoopTimers
+from guavalane_entry.gateway.caller_connection import ConnectionReply
 from guavalane_entry.gateway.codec import RequestCodec
-from guavalane_entry.gateway.listener import CallerListener, ConnectionReply
+from guavalane_entry.gateway.listener import CallerListener
 from guavalane_entry.gateway.settings import Address
 from guavalane_entry.gateway.stop_deadline import StopDeadline
 from guavalane_standins.broken_server import LOOP_POLICIES
--- a/packages/guavalane-entry/tests/gateway/test_watch.py
+++ b/packages/guavalane-entry/tests/gateway/test_watch.py
@@ -24,8 +24,8 @@
     encode_copy,
 )
 from guavalane_entry.gateway.decision_log import DecisionLog
-from guavalane_entry.gateway.listener import StatusListener
 from guavalane_entry.gateway.settings import Address
+from guavalane_entry.gateway.status_listener import StatusListener
 from guavalane_entry.gateway.store_era import StoreEra
 from guavalane_entry.gateway.watch import (
     MAX_PROBE_BACKOFF_S,
