Bound what the kernel holds unread of callers of the chat interface

Operators saw: an entry process whose memory, with what the kernel held unread for it, was exceeded several times over by 300 connections that send large bodies: 601 and 467 MB of 110 for unfinished bodies (289 unread), 577 and 680 MB for the rest of rejected ones (511 unread), 197 and 164 MB for trickling ones.

Cause: the listening socket of the interface had no receive buffer of its own. The kernel let it grow to 1.7 MB a connection, and the event loop read up to 256 KiB of each connection in one turn, before the account of bodies saw a byte.

The allocator returns dropped bodies already, as the check of the bounds runs here as well.

--- a/packages/guavalane-entry/src/guavalane_entry/callers/web.py
+++ b/packages/guavalane-entry/src/guavalane_entry/callers/web.py
@@ -14,6 +14,7 @@
 from guavalane_core.settings import LimitSettings, Listen
 from guavalane_core.timers import LoopTimers
 from guavalane_entry.caller_bounds import CallerBounds
+from guavalane_entry.caller_socket import bind_caller_socket
 from guavalane_entry.callers.protocol import BoundedProtocol, BoundedRequest
 
 PROBLEM_TYPE = "application/problem+json"
@@ -142,8 +143,7 @@
     async def start(self) -> None:
         """Starts listening."""
         self._server = await self._app.create_server(
-            host=self._listen.host,
-            port=self._listen.port,
+            sock=bind_caller_socket(self._listen.host, self._listen.port),
             protocol=BoundedProtocol,
             return_asyncio_server=True,
             access_log=False,
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/listener.py
@@ -33,6 +33,7 @@
     BodySizeError,
     CallerBounds,
 )
+from guavalane_entry.caller_socket import bind_caller_socket
 from guavalane_entry.gateway.codec import RequestCodec
 from guavalane_entry.gateway.errors import (
     BodyTimeoutError,
@@ -57,10 +58,6 @@
 # A connection is not read while twice this number of bytes of its body, which
 # are not in the account of bodies yet, wait for the handler.
 READ_BUFFER_BYTES = 16_384
-# Receive buffer of a caller's connection in the kernel, in bytes. The event
-# loop reads up to 256 KiB of each connection in one turn, before any handler
-# can refuse a body; with 300 connections, that was half of a small VM's memory.
-RECEIVE_BUFFER_BYTES = 16_384
 # Requests of a connection that are parsed while an earlier one is handled.
 MAX_QUEUED_REQUESTS = 1
 # Response to a header that took too long; the request was not processed.
@@ -483,18 +480,6 @@
         )
 
 
-def _bind(address: Address) -> socket.socket:
-    """Returns a socket for callers; its connections inherit its options."""
-    is_ipv6 = ":" in address.host
-    family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setblocking(False)
-    sock.bind((address.host, address.port))
-    return sock
-
-
 class CallerListener:
     """Reads caller requests and passes them to a handler.
 
@@ -557,7 +542,9 @@
             CHECK_PERIOD_S, self._check_callers
         )
         self._sockets = await asyncio.get_running_loop().create_server(
-            self._server, sock=_bind(self._address), backlog=BACKLOG
+            self._server,
+            sock=bind_caller_socket(self._address.host, self._address.port),
+            backlog=BACKLOG,
         )
 
     def close_after_responses(self) -> None:
