Free the results of idempotent calls when they have been used

Operators saw: an entry process of the chat interface whose memory grew with answers that were long finished: 315 and 312 MB of 110 after 300 callers had asked for answers of 1 MB.

Cause: a hedged race refers to the tasks of its attempts, and these to the race. The tasks keep their results until the garbage collector finds the cycle, which runs rarely, as its threshold is high. In one run, 207 answers were kept in this way while the account of bodies was empty.

Change: a race drops its attempts when it has ended.

--- a/packages/guavalane-entry/src/guavalane_entry/hedged_race.py
+++ b/packages/guavalane-entry/src/guavalane_entry/hedged_race.py
@@ -107,6 +107,10 @@
             return await self._wait_for_end()
         finally:
             await cancel_tasks(timer, *self._tasks.values())
+            # The attempts refer to the race. Without these references, their
+            # results are freed at once and not by the garbage collector.
+            self._tasks = {}
+            self._ended = []
 
     async def claim(self, entrant: Entrant) -> None:
         """Lets an attempt win; see `Entrant.claim`."""
