--- a/packages/guavalane-entry/src/guavalane_entry/free_memory.py
+++ b/packages/guavalane-entry/src/guavalane_entry/free_memory.py
@@ -5,13 +5,13 @@
 import ctypes
 from collections.abc import Callable
 
-# Bytes of bodies that were dropped after which free memory is returned. The
-# allocator of glibc returns only what lies at the end of its heap.
+# Bytes of bodies that were dropped after which free memory is returned. By
+# itself, the allocator of glibc returns only the end of its heap.
 RELEASE_BYTES = 8 * 1024 * 1024
 
 
 def _find_trim() -> Callable[[int], int] | None:
-    """Returns the function of the C library; None if it has none."""
+    """Returns `malloc_trim` of the C library; None if it has none."""
     return getattr(ctypes.CDLL(None), "malloc_trim", None)
 
 
--- a/packages/guavalane-entry/src/guavalane_entry/gateway/end_check.py
+++ b/packages/guavalane-entry/src/guavalane_entry/gateway/end_check.py
@@ -20,7 +20,7 @@
 
 
 class EndCheck:
-    """Tells a complete body from one whose endpoint was killed.
+    """Distinguishes a complete body from one whose endpoint was killed.
 
     Both end in order if nothing else delimits the body, but nothing listens on
     the port of a process that has ended. An endpoint that leaves as planned
